Choose servers by the load they report, among a few at random

Cause: a server's window began at 4 over the number of limiters, so the windows of 60 servers left each of 100 limiters 2.4 attempts, and the pooled window then shrank: its learnt idle answer time moves by 3% with an answer, which is a second at a busy limiter and half a minute here. Ruled out: the quotas (the fewest refusals). Scores were own attempts by size, and a limiter with nothing out finds every server alike but for size: all chose the largest in their zone.

Design: an answer tells its server's queue and load, which all limiters made together. A server's score is its report, fading to the mean of all, and the own attempts there; it is chosen among a few drawn by size (two where many limiters share a server, all where few do). Pressure is the mean queue. A bound per server and limiter stays against overrun.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+mod load;
+use load::{Load, Reported};
+
 // ===== settings: every tuned value, with its unit =====
 
 /// Least seconds between two counter calls for a customer.
@@ -53,22 +56,18 @@
 const MEAN_GAIN: f64 = 0.02;
 /// Aims after which slowness without news is mostly forgotten.
 const SLOW_FORGET: f64 = 8.0;
-/// Attempts a server may have out: at first and at least from all limiters together (a share below one:
-/// one in so many answer times), and at most from this one.
-const WINDOW: (f64, f64, f64) = (4.0, 4.0, 64.0);
-/// Least share of the aim that the work itself takes, and the weight of one answer in what it takes.
-const REST: (f64, f64) = (0.09, 0.03);
-/// A mean answer under the first multiple of that opens the window, over the second closes it by the third.
-const WINDOW_LAG: (f64, f64, f64) = (1.1, 2.8, 0.7);
-/// Weight of one try in the share that finds the fleet full, and how far that sheds classes of less worth.
-const PRESS: (f64, f64) = (0.05, 4.0);
+/// Attempts a server may have out from all limiters together per unit of its size and warmth, as far as each
+/// holds its part; and the fewest that each may have there, since few of many limiters meet at one server.
+const MOST_OUT: (f64, f64) = (5.0, 2.0);
+/// How much more a pressed fleet sheds of classes of less worth for their work.
+const PRESS_WORTH: f64 = 4.0;
 /// Limiters that use a server in turn, and the fewest servers one uses: evidence of many servers is thin.
 const COVER: f64 = 48.0;
 const SUBSET: f64 = 8.0;
-/// Mean answer of the fleet, as such a multiple, up to which its window opens, the steps, and the bounds.
-const OPEN_LAG: f64 = 2.0;
-const OPEN_STEP: (f64, f64) = (1.02, 0.97);
-const OPEN: (f64, f64) = (0.3, 6.0);
+/// Servers compared for a request, as a share of those in use over the limiters that use one, and at least:
+/// a limiter that puts most of the load on its servers knows the least busy one, and the more limiters share
+/// them, the more all would choose the same. Many choose at random, and the better of two.
+const COMPARED: (f64, f64) = (4.0, 2.0);
 /// Slowness that a server shows by turning work away.
 const FULL_SLOW: f64 = 10.0;
 /// Share of a cold server's allowance that is used, and its sends in an overload window without warm ones.
@@ -202,7 +201,7 @@
             counter_try: now,
             call_share: CALLS.0,
             servers: BTreeMap::new(),
-            fleet: Fleet { lag: WINDOW_LAG.1 * REST.0, rest: REST.0, open: 1.0, ..Fleet::default() },
+            fleet: Fleet::default(),
             means: set.classes.iter().map(|c| c.aim * FIRST_MEAN).collect(),
             retry_saved: RETRY.1,
             requests: BTreeMap::new(),
@@ -368,8 +367,7 @@
     slow: f64,
     slow_at: f64,
     out: u32,
-    window: f64,
-    cut_at: f64,
+    reported: Option<Reported>,
     /// Its last good answer.
     heard: f64,
     fails: u32,
@@ -389,31 +387,23 @@
     /// Servers this limiter uses, and limiters that use one.
     subset: f64,
     cover: f64,
-    /// How many more servers may be ejected, and the window over all others.
+    /// How many more servers may be ejected.
     spare: f64,
-    room: f64,
-    /// Mean answer time of all servers, the work's own part of it, both in aims; what opens their windows.
-    lag: f64,
-    rest: f64,
-    open: f64,
-    /// Share of the tries that find the fleet's window full.
-    press: f64,
+    /// What the servers' reports tell of them all.
+    load: Load,
     /// Sends to warm servers in the last overload window, and the weight of those in use.
     sends: VecDeque<f64>,
     warm: f64,
-    /// Attempts out at all servers.
-    out: u32,
 }
 
 impl Server {
-    fn new(e: &ServerEntry, peers: u32, out: u32) -> Self {
+    fn new(e: &ServerEntry, out: u32) -> Self {
         Server {
             zone: e.zone.clone(),
             cell: e.cell,
             started: e.started,
             slow: 1.0,
             out,
-            window: WINDOW.0 / f64::from(peers.max(1)),
             ejected_until: f64::MIN,
             ..Server::default()
         }
@@ -437,10 +427,10 @@
             s.state = ServerState::Gone;
         }
         for e in entries {
-            let s = self.servers.entry(e.id.clone()).or_insert_with(|| Server::new(e, self.set.peers, 0));
+            let s = self.servers.entry(e.id.clone()).or_insert_with(|| Server::new(e, 0));
             if s.started != e.started && e.started.is_some() {
                 // A restarted process has nothing of its former self but what is still out.
-                *s = Server::new(e, self.set.peers, s.out);
+                *s = Server::new(e, s.out);
             }
             s.state = e.state;
             s.weight = if e.weight > 0.0 { e.weight } else { 1.0 };
@@ -454,12 +444,11 @@
     /// Looks over the servers once a tick, so that no request has to.
     fn survey(&mut self) {
         let (now, peers) = (self.now, f64::from(self.set.peers.max(1)));
-        let (mut count, mut ejected, mut room) = (0.0f64, 0.0, 0.0);
+        let (mut count, mut ejected) = (0.0f64, 0.0);
         for s in self.servers.values().filter(|s| s.state == ServerState::InService) {
-            let serves = f64::from(u8::from(s.ejected_until <= now));
-            (count, ejected, room) = (count + 1.0, ejected + 1.0 - serves, room + serves * s.window);
+            (count, ejected) = (count + 1.0, ejected + f64::from(u8::from(s.ejected_until > now)));
         }
-        (self.fleet.spare, self.fleet.room) = (count * EJECT.3 - ejected, room);
+        self.fleet.spare = count * EJECT.3 - ejected;
         self.fleet.subset = (count * COVER / peers).ceil().clamp(SUBSET.min(count), count);
         self.fleet.cover = (peers * self.fleet.subset / f64::max(count, 1.0)).max(1.0);
         let used = self.reach().take(self.fleet.subset as usize).map(|id| &self.servers[id]);
@@ -483,7 +472,6 @@
                 s.ejected_until = now + EJECT.1 * aim * f64::from(1u32 << s.ejections.min(EJECT.2));
                 s.ejections += 1;
                 self.fleet.spare -= 1.0;
-                self.fleet.room -= s.window;
             }
         }
     }
@@ -502,36 +490,6 @@
         s.late[class] = if late { (s.late[class].0 + 1, now) } else { (0, now) };
     }
 
-    /// Bounds what may be out at a server by what it shows it can take.
-    fn pace(&mut self, id: &ServerId, took: f64, aim: f64, failed: bool) {
-        let (now, peers, f) = (self.now, f64::from(self.set.peers.max(1)), &mut self.fleet);
-        let Some(s) = self.servers.get_mut(id) else { return };
-        if !failed {
-            // Answers alone tell how busy the fleet is: what stays unanswered may be lost, not waiting. Its
-            // window grows only where it is used: at a limiter that more requests come to than to others.
-            f.lag = fresh(f.lag, took / aim, SLOW_GAIN);
-            // What answers take while the fleet is held back is the work, not waiting, and holding back more
-            // mends it not. Guards against any reason for long work: large requests, a slow back end, tight
-            // aims. Harms where others fill the fleet all along: their queue looks like work.
-            if f.open < 1.0 || f.lag < f.rest {
-                f.rest = fresh(f.rest, took / aim, REST.1).max(REST.0);
-            }
-            let full = f64::from(f.out + 2) > f.room * f.open || f.open < 1.0;
-            let grow = if full { OPEN_STEP.0 } else { 1.0 };
-            f.open *= if f.lag > OPEN_LAG * f.rest { OPEN_STEP.1 } else { grow };
-            f.open = f.open.clamp(OPEN.0, OPEN.1);
-        }
-        let latency = f.lag / f.rest * s.slow;
-        if failed || latency > WINDOW_LAG.1 {
-            if now - s.cut_at > aim / 2.0 {
-                s.window = (s.window * WINDOW_LAG.2).max(WINDOW.1 / peers);
-                s.cut_at = now;
-            }
-        } else if latency < WINDOW_LAG.0 && f64::from(s.out + 2) > s.window {
-            s.window = (s.window + 0.3 / s.window.max(4.0)).min(WINDOW.2);
-        }
-    }
-
     /// Whether a cold server may get one more send from here within the rule's window: what warm ones get,
     /// by its warmth. A part of one send goes out in that part of the windows, each limiter in its own turn.
     fn cold_room(&self, id: &ServerId, s: &Server) -> bool {
@@ -549,11 +507,10 @@
     }
 
     /// The best server for a request, or none where every one that may take it has enough.
-    fn choose(&self, req: &Open, draw: f64) -> Option<ServerId> {
+    fn choose(&self, req: &Open, draw: u64) -> Option<ServerId> {
         let (now, forget) = (self.now, SLOW_FORGET * self.aim());
-        let pooled = f64::from(self.fleet.out) + 1.0 <= (self.fleet.room * self.fleet.open).max(1.0);
-        let (mut best, mut last) = (None::<(f64, &ServerId)>, None::<(f64, &ServerId)>);
-        let mut looked = 0.0;
+        let (mut found, mut last) = (Vec::new(), None::<(f64, &ServerId)>);
+        let (mut looked, mut rng) = (0.0, fastrand::Rng::with_seed(draw));
         let named = self.reach().map(|id| (id, &self.servers[id]));
         for (id, s) in named.filter(|(_, s)| s.state == ServerState::InService && self.in_group(req, s)) {
             if s.ejected_until > now {
@@ -565,27 +522,31 @@
                 break;
             }
             looked += 1.0;
-            let warmth = s.warmth(&self.set, now);
-            let window = if s.fails >= EJECT.0 { 1.0 } else { s.window * warmth };
-            // Many limiters with one attempt each can be too much: windows below one hold over all servers.
-            let full = f64::from(s.out) + 1.0 > window.max(1.0) || (window < 1.0 && !pooled);
-            if full || !self.cold_room(id, s) {
+            let size = s.warmth(&self.set, now) * s.weight;
+            let most =
+                if s.fails >= EJECT.0 { 1.0 } else { (MOST_OUT.0 * size / self.fleet.cover).max(MOST_OUT.1) };
+            if f64::from(s.out) + 1.0 > most || !self.cold_room(id, s) {
                 continue;
             }
-            let slow = 1.0 + (s.slow - 1.0) * (-(now - s.slow_at) / forget).exp();
-            let mut score = slow * f64::from(s.out + 1) / (warmth * s.weight);
-            score *= if *s.zone == *self.set.zone { 1.0 } else { CROSS_ZONE };
+            let mut slow = 1.0 + (s.slow - 1.0) * (-(now - s.slow_at) / forget).exp();
+            slow *= if *s.zone == *self.set.zone { 1.0 } else { CROSS_ZONE };
             if let Some((late, at)) = s.late.get(req.class).filter(|(late, _)| *late > 0) {
                 let fade = LATE.1 * self.aim() * f64::from(*late);
-                score *= 1.0 + LATE.0 * f64::from(*late) * (-(now - at) / fade).exp();
+                slow *= 1.0 + LATE.0 * f64::from(*late) * (-(now - at) / fade).exp();
             }
             let tried = req.attempts.iter().any(|a| a.server == *id);
-            score *= f64::from(1 + s.fails) * if tried { TRIED } else { 1.0 };
-            score *= 1.0 + JITTER * (draw + GOLDEN * looked).fract();
-            best = if best.map_or(true, |(b, _)| score < b) { Some((score, id)) } else { best };
-        }
+            slow *= f64::from(1 + s.fails) * if tried { TRIED } else { 1.0 };
+            let others = self.fleet.load.expected(s.reported.as_ref(), now, self.aim());
+            let own = (f64::from(s.out) + 1.0 / self.fleet.cover) / size;
+            let score = slow * (1.0 + own + others) * (1.0 + JITTER * rng.f64());
+            // An exponential race: each is among the first as likely as its size and speed are great.
+            found.push((-(1.0 - rng.f64()).ln() * slow / size, score, id));
+        }
+        found.sort_by(|a, b| a.0.total_cmp(&b.0));
+        found.truncate((COMPARED.0 * self.fleet.subset / self.fleet.cover).max(COMPARED.1) as usize);
+        let best = found.iter().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(_, _, id)| *id);
         // With every server ejected the least suspect still gets some: a wrong guess must not stop all.
-        best.or(if looked > 0.0 { None } else { last }).map(|(_, id)| id.clone())
+        best.or(if looked > 0.0 { None } else { last.map(|(_, id)| id) }).cloned()
     }
 
     /// Whether a keyed request may go to a server: it stays with the group of the first that may have run it.
@@ -608,7 +569,7 @@
     cell: i64,
     sent: f64,
     live: bool,
-    /// Counted in its server's window.
+    /// Counted as out at its server.
     counted: bool,
     /// Until an outcome proves otherwise, an attempt may have run.
     may_have_run: bool,
@@ -654,7 +615,8 @@
             Event::StreamStarted { id } => {
                 self.requests.entry(id).and_modify(|r| r.streaming = true);
             }
-            Event::AttemptEnded { id, attempt, finished, outcome, took, units, .. } => {
+            Event::AttemptEnded { id, attempt, finished, outcome, took, units, report } => {
+                self.reported(id, attempt, &report);
                 self.ended(id, attempt, (finished, outcome, took, units.unwrap_or(0.0)), out);
             }
             Event::ClientGone { id } => self.finish(id, out),
@@ -698,13 +660,12 @@
             return self.refuse(r.id, wait, out);
         }
         let open = Open { customer: key.clone(), class, units, due: r.due, ..Open::default() };
-        let draw = self.rng.f64();
+        let draw = self.rng.u64(..);
         // Where the fleet is full, what is worth least for its work gives way. The quota has decided before.
-        let pressed = f64::from(self.fleet.out) + 1.0 > (self.fleet.room * self.fleet.open).max(1.0);
-        self.fleet.press = fresh(self.fleet.press, f64::from(u8::from(pressed)), PRESS.0);
         let value = |n: usize| self.set.classes[n].worth / self.means[n].max(1e-6);
         let best = (0..self.means.len()).map(value).fold(0.0, f64::max);
-        let yields = PRESS.1 * self.fleet.press * (1.0 - value(class) / best.max(1e-9)) > self.rng.f64();
+        let worth = 1.0 + PRESS_WORTH * (1.0 - value(class) / best.max(1e-9));
+        let yields = self.fleet.load.press() * worth > self.rng.f64();
         let server = if yields || self.capped(key) { None } else { self.choose(&open, draw) };
         let Some(server) = server else { return self.refuse(r.id, 0.0, out) };
         self.customers
@@ -720,7 +681,6 @@
         let now = self.now;
         let (Some(r), Some(s)) = (self.requests.get_mut(&id), self.servers.get_mut(&server)) else { return };
         s.out += 1;
-        self.fleet.out += 1;
         if s.warmth(&self.set, now) < 1.0 {
             s.sent.retain(|t| now - t <= self.set.overload_for);
             s.sent.push(now);
@@ -765,7 +725,7 @@
 
     /// Sends again within the retry budget; true if it did.
     fn send_again(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let draw = self.rng.f64();
+        let draw = self.rng.u64(..);
         let allowed = self.requests.get(&id).filter(|r| self.retry_saved >= 1.0 && self.may_repeat(r));
         let Some(server) = allowed.and_then(|r| self.choose(r, draw)) else { return false };
         self.retry_saved -= 1.0;
@@ -806,11 +766,19 @@
         }
     }
 
-    /// Takes an attempt off its server's window, once: answered, or so late that it may be lost or hang.
+    /// Takes in the load that a server told with an answer.
+    fn reported(&mut self, id: RequestId, n: u32, report: &LoadReport) {
+        let (now, aim) = (self.now, self.aim());
+        let attempt = self.requests.get(&id).and_then(|r| r.attempts.get(n as usize));
+        let Some(s) = attempt.and_then(|a| self.servers.get_mut(&a.server)) else { return };
+        let size = (s.warmth(&self.set, now) * s.weight).max(1e-6);
+        s.reported = self.fleet.load.learn(report, size, now, aim).or(s.reported);
+    }
+
+    /// Takes an attempt off its server, once: answered, or so late that it may be lost or hang.
     fn write_off(&mut self, id: RequestId, n: u32) {
         let Some(a) = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(n as usize)) else { return };
         if std::mem::take(&mut a.counted) {
-            self.fleet.out = self.fleet.out.saturating_sub(1);
             if let Some(s) = self.servers.get_mut(&a.server) {
                 s.out = s.out.saturating_sub(1);
             }
@@ -844,7 +812,6 @@
                 if n > 0 && took < aim {
                     self.retry_saved = (self.retry_saved + RETRY.2).min(RETRY.1);
                 }
-                self.pace(&server, took, aim, false);
                 if let Some(s) = self.servers.get_mut(&server) {
                     (s.heard, s.fails, s.ejections) = (self.now, 0, 0);
                 }
@@ -852,10 +819,8 @@
             Outcome::Full => {
                 // It answers at once, and would else look like the least busy.
                 self.slowness(&server, class, FULL_SLOW, false);
-                self.pace(&server, took, aim, true);
             }
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => self.strike(&server),
-            Outcome::Timeout => self.pace(&server, took, aim, true),
             _ => {}
         }
         if finished || was_done {
--- /dev/null
+++ b/tests/load.rs
@@ -0,0 +1,90 @@
+//! What the servers report of their load: the choice of a server, and what is refused for pressure.
+mod common;
+use common::*;
+use liftrouter::*;
+use std::collections::BTreeMap;
+
+fn fleet(servers: u32, weight: impl Fn(u32) -> f64) -> Vec<ServerEntry> {
+    let entry = |n: u32| {
+        let up = server(&format!("10.0.1.{n}:1"), "east", ServerState::InService, None);
+        ServerEntry { weight: weight(n), ..up }
+    };
+    (0..servers).map(entry).collect()
+}
+
+/// Serves a request, with a report of the server's queue; gives the server, or none where it was refused.
+fn serve(h: &mut Host, n: u32, queue: impl Fn(&str) -> Option<f64>) -> Option<String> {
+    let (id, out) = h.ask(&format!("c{n}"), "free", "read", 1.0);
+    let to = sent_to(&out)?.to_string();
+    let report = LoadReport { queue: queue(&to), busy: Some(0.9), ..LoadReport::default() };
+    let (outcome, units) = (Outcome::Ok, None);
+    h.event(Event::AttemptEnded { id, attempt: 0, finished: true, outcome, took: 0.1, units, report });
+    Some(to)
+}
+
+#[test]
+fn a_hundred_limiters_with_little_to_send_do_not_all_choose_the_largest() {
+    // Each has one request at a time: its own attempts show no difference between the servers but their size.
+    let mut sent = BTreeMap::<String, f64>::new();
+    for me in 0..100 {
+        let mut h = Host::new(Settings { peers: 100, me, ..settings() });
+        h.event(Event::ServerList(fleet(60, |n| if n % 2 == 0 { 3.0 } else { 2.0 })));
+        for n in 0..12 {
+            h.now += 0.2;
+            let to = serve(&mut h, n, |_| None).expect("nothing is out");
+            *sent.entry(to).or_default() += 1.0;
+        }
+    }
+    let small: f64 = (0..60).filter(|n| n % 2 == 1).filter_map(|n| sent.get(&format!("10.0.1.{n}:1"))).sum();
+    // By their size they would get four tenths of 1,200.
+    assert!(small > 300.0, "{small} of 1200 at the half of the servers that is smaller");
+    let most = sent.values().fold(0.0, |a: f64, b| a.max(*b));
+    assert!(most <= 60.0, "{most} at one of 60 servers");
+}
+
+#[test]
+fn a_server_that_reports_a_queue_is_spared_until_the_report_is_old() {
+    let mut h = Host::new(settings());
+    let up = ServerState::InService;
+    let others = |state| vec![server(B, "east", state, None), server(C, "west", state, None)];
+    for n in 0..20 {
+        h.now += 0.2;
+        serve(&mut h, n, |_| Some(0.0));
+    }
+    h.event(Event::ServerChanges(others(ServerState::Draining)));
+    assert_eq!(serve(&mut h, 0, |_| Some(20.0)).as_deref(), Some(A));
+    h.event(Event::ServerChanges(others(up)));
+    let sent: Vec<_> = (0..100)
+        .filter_map(|n| {
+            h.now += 0.01;
+            serve(&mut h, n, |_| Some(0.0))
+        })
+        .collect();
+    assert!(sent.len() > 20 && sent.iter().all(|to| to != A), "{sent:?}");
+    h.now += 20.0;
+    let again = (0..60).filter(|n| {
+        h.now += 0.01;
+        serve(&mut h, *n, |_| Some(0.0)).as_deref() == Some(A)
+    });
+    assert!(again.count() >= 5, "what it once told holds for good");
+}
+
+#[test]
+fn queues_everywhere_refuse_a_part_and_idle_servers_none() {
+    let refused = |queue: f64| {
+        let mut h = Host::new(settings());
+        for n in 0..300 {
+            h.now += 0.02;
+            serve(&mut h, n, |_| Some(queue));
+        }
+        (0..200)
+            .filter(|n| {
+                h.now += 0.02;
+                serve(&mut h, *n, |_| Some(queue)).is_none()
+            })
+            .count()
+    };
+    assert_eq!(refused(0.0), 0);
+    let (some, most) = (refused(2.0), refused(30.0));
+    assert!(some > 20 && some < most && most < 200, "{some} and {most} of 200 refused");
+}
