Let about 12 limiters use a server instead of 48

Cause: COVER had 48 limiters use each server, so 29 servers were in use at a limiter with six requests a second. Fewer than 12 was not pursued: loads of limiters are uneven.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,9 +61,12 @@
 const MOST_OUT: (f64, f64) = (5.0, 2.0);
 /// How much more a pressed fleet sheds of classes of less worth for their work.
 const PRESS_WORTH: f64 = 4.0;
-/// Limiters that use a server in turn, and the fewest servers one uses: evidence of many servers is thin.
-const COVER: f64 = 48.0;
-const SUBSET: f64 = 8.0;
+/// Limiters that use a server, and the fewest servers one uses. Each limiter opens its own connections, which
+/// cost the server work and the request time, and learns of each server by its own answers alone: with fewer
+/// servers to each, connections are kept and reports are fresh. Harms where too few limiters share a server
+/// for their loads to even out.
+const COVER: f64 = 12.0;
+const SUBSET: f64 = 6.0;
 /// Servers compared for a request, as a share of those in use over the limiters that use one, and at least:
 /// a limiter that puts most of the load on its servers knows the least busy one, and the more limiters share
 /// them, the more all would choose the same. Many choose at random, and the better of two.
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -42,6 +42,27 @@
     assert!(most <= 60.0, "{most} at one of 60 servers");
 }
 
+#[test]
+fn each_of_a_hundred_limiters_keeps_to_few_servers_and_together_they_use_all() {
+    let (mut users, mut widest) = (BTreeMap::<String, u32>::new(), 0);
+    for me in 0..100 {
+        let mut h = Host::new(Settings { peers: 100, me, ..settings() });
+        h.event(Event::ServerList(fleet(60, |_| 2.0)));
+        let mut used: Vec<String> = Vec::new();
+        for n in 0..120 {
+            h.now += 0.2;
+            used.extend(serve(&mut h, n, |_| Some(0.0)));
+        }
+        used.sort();
+        used.dedup();
+        widest = widest.max(used.len());
+        used.into_iter().for_each(|id| *users.entry(id).or_default() += 1);
+    }
+    assert!(widest <= 10, "one limiter holds connections to {widest} of 60 servers");
+    let (least, most) = (users.values().min(), users.values().max());
+    assert!(users.len() == 60 && least >= Some(&4) && most <= Some(&24), "{users:?}");
+}
+
 #[test]
 fn a_server_that_reports_a_queue_is_spared_until_the_report_is_old() {
     let mut h = Host::new(settings());
