Ask for a broken list of servers with jittered exponential backoff

Cause: the module asked again at every tick of 50 ms, and that ended the host's pause early (logic.rs, lost_list; discovery.rs, BACKOFF). The calls of all limiters kept discovery's line full. Checked with a probe that logged each opening: calls that are let into the line end after 2 s with 503, others at once, plain fetches as well as watches; 1 s was the most that the host waited, so it left the line when almost served.

Design: the pace is a decision and moves to the module (logic/follow.rs); up to 20 s where calls cost discovery work, up to 2.5 s where the list comes by itself. The host waits 2 to 8 s for an answer, and logs the 1st, 2nd, 4th ... failure in a row instead of each.

--- a/src/bin/liftrouter/discovery.rs
+++ b/src/bin/liftrouter/discovery.rs
@@ -21,10 +21,15 @@
 /// is cut off never errs: only its silence tells. What discovery tells counts as told after 6 s, or 4 s after
 /// a move, whether or not it arrived: by then another watch must have had the time to bring it.
 const SILENCE: Duration = Duration::from_secs(3);
-/// How long connecting, and the head of an answer, may take.
-const OPENING: Duration = Duration::from_secs(1);
-/// Pause after a broken watch, doubled with each further one that brought nothing.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+/// How long connecting may take.
+const CONNECT: Duration = Duration::from_secs(1);
+/// How long the head of an answer may take: at first, and at most, doubled with each watch in a row that
+/// failed. Discovery serves many limiters in turn, also those that have left: who leaves too soon keeps it from
+/// serving anyone. One that is cut off must not be waited for as long at once.
+const HEAD: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(8));
+/// The longest pause after a broken watch. The module asks for the list again at the time it finds right; this
+/// is a guard only, should it not.
+const PAUSE: Duration = Duration::from_secs(60);
 /// The longest line; a list of some ten thousand servers fits.
 const MAX_LINE: usize = 4 << 20;
 
@@ -97,9 +102,11 @@
     address: Cell<SocketAddr>,
     /// The address has changed: the watch and every pause before the next one end.
     moved: Notify,
-    /// The module asks for the list: a pause between two watches ends early.
+    /// The module asks for the list: the pause between two watches ends.
     pub follow: Notify,
     heard: Notify,
+    /// Watches in a row that ended without news.
+    failed: Cell<u64>,
     open: Rc<Cell<usize>>,
 }
 
@@ -110,6 +117,7 @@
             moved: Notify::new(),
             follow: Notify::new(),
             heard: Notify::new(),
+            failed: Cell::new(0),
             open: Rc::default(),
         }
     }
@@ -129,43 +137,49 @@
 
     /// Follows the list for as long as the program runs, from the version that the host starts with.
     pub async fn watch(self: Rc<Self>, host: Rc<Host>, mut after: Option<u64>) {
-        let mut fruitless = 0;
         loop {
-            let before = after;
             let broken = async {
                 let Err(why) = self.watch_once(&host, self.address.get(), &mut after).await;
-                fruitless = if after == before { fruitless + 1 } else { 0 };
-                log("discovery", &why);
+                self.complain(&why);
+                // What the module asked for before this watch was answered by it.
+                let _ = timeout(Duration::ZERO, self.follow.notified()).await;
                 host.discovery_broken();
-                let pause = BACKOFF.1.min(BACKOFF.0 * (1 << u32::min(fruitless, 8)));
-                tokio::time::sleep(BACKOFF.0).await;
-                let _ = timeout(pause, self.follow.notified()).await;
+                let _ = timeout(PAUSE, self.follow.notified()).await;
             };
             tokio::select! {
                 () = broken => {}
-                () = self.moved.notified() => fruitless = 0,
+                () = self.moved.notified() => {}
             }
         }
     }
 
+    /// Logs the first failure in a row and then ever fewer: a discovery that is down must not fill the log.
+    fn complain(&self, why: &str) {
+        let failed = self.failed.replace(self.failed.get() + 1) + 1;
+        if failed.is_power_of_two() {
+            log("discovery", format_args!("{why} (failure {failed} in a row)"));
+        }
+    }
+
     async fn watch_once(
         &self,
         host: &Rc<Host>,
         address: SocketAddr,
         after: &mut Option<u64>,
     ) -> Result<std::convert::Infallible, String> {
+        let mut link = match timeout(CONNECT, Link::connect(address, &self.open)).await {
+            Ok(connected) => connected.map_err(|e| format!("no connection: {e}"))?,
+            Err(_) => return Err("no connection in time".into()),
+        };
         let opening = async {
-            let mut link =
-                Link::connect(address, &self.open).await.map_err(|e| format!("no connection: {e}"))?;
             let after = after.map(|v| format!("&after={v}")).unwrap_or_default();
             let request = Request::get(format!("/discovery/hosts?watch=1{after}"));
             let request = request.header(HOST, address.to_string()).body(Full::default());
             let request = request.map_err(|e| e.to_string())?;
-            let answer =
-                link.open(request).await.map_err(|_| "the watch broke before its answer".to_string())?;
-            Ok::<_, String>((link, answer))
+            link.open(request).await.map_err(|_| "the watch broke before its answer".to_string())
         };
-        let (mut link, answer) = timeout(OPENING, opening).await.map_err(|_| "no answer".to_string())??;
+        let patience = HEAD.1.min(HEAD.0 * (1 << self.failed.get().min(8)));
+        let answer = timeout(patience, opening).await.map_err(|_| "no answer".to_string())??;
         if answer.status() != StatusCode::OK {
             return Err(format!("the watch was answered {}", answer.status()));
         }
@@ -181,6 +195,7 @@
                 let line = buffer.split_to(end + 1);
                 let line = line.trim_ascii();
                 self.heard.notify_one();
+                self.failed.set(0);
                 if line.is_empty() {
                     continue;
                 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+mod follow;
 mod load;
+use follow::Following;
 use load::{Load, Reported};
 
 // ===== settings: every tuned value, with its unit =====
@@ -120,8 +122,7 @@
     means: Vec<f64>,
     retry_saved: f64,
     requests: BTreeMap<RequestId, Open>,
-    follow: bool,
-    lost_list: bool,
+    following: Following,
 }
 
 // ===== quota: buckets, demand, totals =====
@@ -209,8 +210,7 @@
             means: set.classes.iter().map(|c| c.aim * FIRST_MEAN).collect(),
             retry_saved: RETRY.1,
             requests: BTreeMap::new(),
-            follow: set.discovery_on_request,
-            lost_list: false,
+            following: Following::new(&set, now),
             set,
         }
     }
@@ -426,6 +426,7 @@
     }
 
     fn listed(&mut self, entries: &[ServerEntry], whole: bool) {
+        self.following.heard();
         for (_, s) in self.servers.iter_mut().filter(|(id, _)| whole && !entries.iter().any(|e| e.id == **id))
         {
             s.state = ServerState::Gone;
@@ -608,13 +609,13 @@
         if !std::mem::replace(&mut self.ticking, true) {
             out.push(Action::SetTimer { at: now + PERIOD / 10.0, token: T_TICK });
         }
-        if std::mem::take(&mut self.follow) {
+        if self.following.ask(now) {
             out.push(Action::FollowServers);
         }
         match event {
             Event::ServerList(entries) => self.listed(&entries, true),
             Event::ServerChanges(entries) => self.listed(&entries, false),
-            Event::DiscoveryBroken => self.lost_list = true,
+            Event::DiscoveryBroken => self.following.broken(now, self.rng.f64()),
             Event::Request(r) => self.admit(r, out),
             Event::StreamStarted { id } => {
                 self.requests.entry(id).and_modify(|r| r.streaming = true);
@@ -635,8 +636,6 @@
                     }
                     self.ticked = now;
                     self.survey();
-                    // A broken subscription is asked for again, at the pace of the ticks.
-                    self.follow |= std::mem::take(&mut self.lost_list);
                     out.push(Action::SetTimer { at: now + PERIOD / 10.0, token: T_TICK });
                 }
                 (T_DUE, id) if self.requests.get(&id).is_some_and(|r| !r.done && !r.streaming) => {
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -196,3 +196,52 @@
     let ticks = out.iter().filter(|a| matches!(a, Action::SetTimer { at, .. } if *at > 100.2)).count();
     assert_eq!(ticks, 1, "{out:?}");
 }
+
+#[test]
+fn a_hundred_limiters_whose_lists_broke_at_once_ask_again_ever_less_and_not_in_step() {
+    // Guards against calls in step at a discovery that is full: none of them would ever be answered.
+    let set = Settings { discovery_on_request: true, must_ask_in: 10.0, peers: 100, ..settings() };
+    let mut asked: Vec<f64> = Vec::new();
+    for seed in 0..100 {
+        let mut limiter = Limiter::new(set.clone(), seed, 100.0);
+        let mut out = Vec::new();
+        limiter.handle(100.0, Event::ServerList(Vec::new()), &mut out);
+        assert!(out.contains(&Action::FollowServers), "a list that comes on request is asked for at once");
+        limiter.handle(100.0, Event::DiscoveryBroken, &mut out);
+        let mut mine = Vec::new();
+        for step in 1..=6000 {
+            let now = 100.0 + f64::from(step) * 0.01;
+            out.clear();
+            limiter.handle(now, Event::Timer { token: 0 }, &mut out);
+            if out.contains(&Action::FollowServers) {
+                mine.push(now);
+                limiter.handle(now, Event::DiscoveryBroken, &mut out);
+            }
+        }
+        let (first, last) = (mine.first(), mine.last());
+        assert!(first < Some(&100.3) && last > Some(&140.0), "{mine:?}");
+        asked.extend(mine);
+    }
+    let within = |from: f64, to: f64| asked.iter().filter(|at| (from..to).contains(*at)).count();
+    assert!(within(130.0, 160.0) < 400, "{} calls in the second half minute", within(130.0, 160.0));
+    let busiest = (0..600).map(|n| 100.0 + f64::from(n) * 0.1).map(|at| within(at, at + 0.1)).max();
+    assert!(busiest < Some(90), "{busiest:?} of 100 in one tenth of a second");
+}
+
+#[test]
+fn news_of_the_list_end_the_pauses() {
+    let mut limiter = Limiter::new(settings(), 7, 100.0);
+    let mut ask = |now: f64, event: Event| {
+        let mut out = Vec::new();
+        limiter.handle(now, event, &mut out);
+        out.contains(&Action::FollowServers)
+    };
+    for n in 0..8 {
+        assert!(!ask(100.0 + f64::from(n) * 10.0, Event::DiscoveryBroken));
+        assert!(ask(105.0 + f64::from(n) * 10.0, Event::Timer { token: 0 }));
+    }
+    ask(190.0, Event::ServerList(Vec::new()));
+    assert!(!ask(191.0, Event::Timer { token: 0 }), "the subscription holds");
+    ask(192.0, Event::DiscoveryBroken);
+    assert!(ask(192.3, Event::Timer { token: 0 }), "the first pause is short again");
+}
