Shed first what is likely beyond its quota while the servers are pressed

Cause: a limiter's bucket for a customer it has not met is full, as the design wants, so a customer beyond its quota gets one request through each of 70 limiters; and pressure refused all alike.

Now a pressed fleet refuses those four times as readily whose counted demand is over the quota, and repeats of customers not counted yet.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -64,6 +64,9 @@
 const MOST_OUT: (f64, f64) = (5.0, 2.0);
 /// How much more a pressed fleet sheds of classes of less worth for their work.
 const PRESS_WORTH: f64 = 4.0;
+/// How much more it sheds of requests that are likely beyond their quota: of a customer whose demand is, as
+/// counted, and repeats of one not counted yet, which most often were refused for their quota elsewhere.
+const PRESS_BEYOND: f64 = 4.0;
 /// Limiters that use a server, and the fewest servers one uses. Each limiter opens its own connections, which
 /// cost the server work and the request time, and learns of each server by its own answers alone: with fewer
 /// servers to each, connections are kept and reports are fresh. Harms where too few limiters share a server
@@ -668,7 +671,11 @@
         let value = |n: usize| self.set.classes[n].worth / self.means[n].max(1e-6);
         let best = (0..self.means.len()).map(value).fold(0.0, f64::max);
         let worth = 1.0 + PRESS_WORTH * (1.0 - value(class) / best.max(1e-9));
-        let yields = self.fleet.load.press() * worth > self.rng.f64();
+        let rate = self.set.plans[plan].rate;
+        let totals = self.customers.get(key).and_then(|c| c.totals);
+        let beyond = rate > 0.0 && totals.map_or(r.repeat, |t| t.all > rate);
+        let first = if beyond { PRESS_BEYOND } else { 1.0 };
+        let yields = self.fleet.load.press() * worth * first > self.rng.f64();
         let server = if yields || self.capped(key) { None } else { self.choose(&open, draw) };
         let Some(server) = server else { return self.refuse(r.id, 0.0, out) };
         self.customers
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -109,3 +109,33 @@
     let (some, most) = (refused(2.0), refused(30.0));
     assert!(some > 20 && some < most && most < 200, "{some} and {most} of 200 refused");
 }
+
+#[test]
+fn a_pressed_fleet_sheds_first_what_is_likely_beyond_its_quota() {
+    let refused = |repeat: bool| {
+        let mut h = Host::new(settings());
+        let mut refused = 0;
+        for n in 0..600 {
+            h.now += 0.02;
+            serve(&mut h, n, |_| Some(1.5));
+            let (id, due) = (10_000 + u64::from(n), h.now + 4.0);
+            let out = h.event(Event::Request(Request {
+                id,
+                customer: format!("other{n}").as_str().into(),
+                plan: "plain".into(),
+                class: "read".into(),
+                units: 1.0,
+                width: 2,
+                repeat,
+                due,
+            }));
+            refused += common::refused(&out);
+            if sent_to(&out).is_some() {
+                h.end(id, 0, Outcome::Ok, None);
+            }
+        }
+        refused
+    };
+    let (new, again) = (refused(false), refused(true));
+    assert!(new > 30 && again > 2 * new && again < 600, "{new} new ones and {again} repeats of 600 refused");
+}
