--- a/src/logic/load.rs
+++ b/src/logic/load.rs
@@ -11,7 +11,7 @@
 const MEAN_MOST: f64 = 0.3;
 /// Waiting requests per unit of size from which the fleet is pressed, and the further ones that refuse
 /// everything. Requests wait only when every slot is taken, so a server that has some waiting is full.
-const PRESSED: (f64, f64) = (0.5, 3.0);
+const PRESSED: (f64, f64) = (0.3, 2.0);
 /// The most that is refused for pressure: what is let in is how its end is learnt of.
 const PRESS_MOST: f64 = 0.9;
 
