Wait 3 s for a list and no longer, so that a drain is heard of in time

What discovery tells counts as told after 6 s. A limiter that waits up to 8 s for the answer of a discovery that was cut off, and pauses then, would send to a draining server past the grace. No drain was broken so far; the sum of silence, answer and pause shows that it could be. The line of discovery was seen to end calls after 2 s itself, so 3 s lose nothing.

--- a/src/bin/liftrouter/discovery.rs
+++ b/src/bin/liftrouter/discovery.rs
@@ -23,10 +23,6 @@
 const SILENCE: Duration = Duration::from_secs(3);
 /// How long connecting may take.
 const CONNECT: Duration = Duration::from_secs(1);
-/// How long the head of an answer may take: at first, and at most, doubled with each watch in a row that
-/// failed. Discovery serves many limiters in turn, also those that have left: who leaves too soon keeps it from
-/// serving anyone. One that is cut off must not be waited for as long at once.
-const HEAD: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(8));
 /// The longest pause after a broken watch. The module asks for the list again at the time it finds right; this
 /// is a guard only, should it not.
 const PAUSE: Duration = Duration::from_secs(60);
@@ -178,8 +174,9 @@
             let request = request.map_err(|e| e.to_string())?;
             link.open(request).await.map_err(|_| "the watch broke before its answer".to_string())
         };
-        let patience = HEAD.1.min(HEAD.0 * (1 << self.failed.get().min(8)));
-        let answer = timeout(patience, opening).await.map_err(|_| "no answer".to_string())??;
+        // Discovery serves many limiters in turn, and works for those that have left too: it is given as long
+        // for its answer as between two lines.
+        let answer = timeout(SILENCE, opening).await.map_err(|_| "no answer".to_string())??;
         if answer.status() != StatusCode::OK {
             return Err(format!("the watch was answered {}", answer.status()));
         }
