Read the list as a stream of JSON values and ask again well before it counts as told

And where a watch fell silent and the call after it was not answered, 3 s of silence, a pause and another 3 s of waiting passed 6 s, when all counts as told.

Lines at fault: discovery.rs, watch_once, which framed by newline, and SILENCE, which bounded both the pause between lines and the answer to a call.

So a pushed list has 1 s from connect to its first news, and silence is 2.5 s: a silent watch, two calls that are not answered and the pauses take 2.5 + 0.2 + 1 + 0.8 + 1 s. Where the list is asked for, discovery serves all in turn, and 3 s stay. Ruled out: readiness by the first frame alone, since half a list is no news.

Now values are taken from the buffer whole, whatever white space lies between or within them and however they are split; 4 MB and the time of silence bound one, since blank lines within a value are no sign of life.

--- a/src/bin/liftrouter/discovery.rs
+++ b/src/bin/liftrouter/discovery.rs
@@ -3,11 +3,11 @@
 use crate::host::Host;
 use crate::link::Link;
 use crate::log;
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use liftrouter::{ServerEntry, ServerState};
+use liftrouter::{ServerEntry, ServerState, Settings};
 use serde::de::Error;
 use serde::{Deserialize, Deserializer};
 use std::cell::Cell;
@@ -15,19 +15,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// An empty line comes every 2 s while nothing changes; when one is this late, the watch is broken. A peer that
-/// is cut off never errs: only its silence tells. What discovery tells counts as told after 6 s, or 4 s after
-/// a move, whether or not it arrived: by then another watch must have had the time to bring it.
-const SILENCE: Duration = Duration::from_secs(3);
-/// How long connecting may take.
-const CONNECT: Duration = Duration::from_secs(1);
+/// is cut off never errs: only its silence tells. What discovery tells counts as told 6 s after the silence
+/// began, or 4 s after a move, whether or not it arrived: this, two calls without an answer and the module's
+/// pauses between them stay below that.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// How long a call may take to connect and to bring its first news, where the list comes by itself: it is the
+/// agent on this machine that answers, and it does so at once or not at all.
+const PUSHED_ANSWER: Duration = Duration::from_secs(1);
+/// The same where the list is asked for: one discovery serves all limiters in turn, and works for those that
+/// have left too.
+const ASKED_ANSWER: Duration = Duration::from_secs(3);
 /// The longest pause after a broken watch. The module asks for the list again at the time it finds right; this
 /// is a guard only, should it not.
 const PAUSE: Duration = Duration::from_secs(60);
-/// The longest line; a list of some ten thousand servers fits.
-const MAX_LINE: usize = 4 << 20;
+/// The longest message; a list of some ten thousand servers fits.
+const MAX_MESSAGE: usize = 4 << 20;
 
 /// A message of discovery: the whole list, or what changed.
 #[derive(Deserialize)]
@@ -103,12 +108,15 @@
     heard: Notify,
     /// Watches in a row that ended without news.
     failed: Cell<u64>,
+    /// How long a call may take to bring its first news.
+    answer: Duration,
     open: Rc<Cell<usize>>,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, settings: &Settings) -> Self {
         Discovery {
+            answer: if settings.discovery_on_request { ASKED_ANSWER } else { PUSHED_ANSWER },
             address: Cell::new(address),
             moved: Notify::new(),
             follow: Notify::new(),
@@ -163,47 +171,88 @@
         address: SocketAddr,
         after: &mut Option<u64>,
     ) -> Result<std::convert::Infallible, String> {
-        let mut link = match timeout(CONNECT, Link::connect(address, &self.open)).await {
-            Ok(connected) => connected.map_err(|e| format!("no connection: {e}"))?,
-            Err(_) => return Err("no connection in time".into()),
-        };
         let opening = async {
+            let link = Link::connect(address, &self.open).await;
+            let mut link = link.map_err(|e| format!("no connection: {e}"))?;
             let after = after.map(|v| format!("&after={v}")).unwrap_or_default();
             let request = Request::get(format!("/discovery/hosts?watch=1{after}"));
             let request = request.header(HOST, address.to_string()).body(Full::default());
-            let request = request.map_err(|e| e.to_string())?;
-            link.open(request).await.map_err(|_| "the watch broke before its answer".to_string())
+            let answer = link.open(request.map_err(|e| e.to_string())?).await;
+            let answer = answer.map_err(|_| "the watch broke before its answer".to_string())?;
+            Ok::<_, String>((link, answer))
         };
-        // Discovery serves many limiters in turn, and works for those that have left too: it is given as long
-        // for its answer as between two lines.
-        let answer = timeout(SILENCE, opening).await.map_err(|_| "no answer".to_string())??;
+        let began = Instant::now();
+        let opened = timeout_at(began + self.answer, opening).await;
+        let (mut link, answer) = opened.map_err(|_| "no answer in time".to_string())??;
         if answer.status() != StatusCode::OK {
             return Err(format!("the watch was answered {}", answer.status()));
         }
         let mut body = answer.into_body();
-        let mut buffer = BytesMut::new();
+        let mut messages = Messages::default();
+        // The first message comes with the answer, whether or not anything changed.
+        let mut until = began + self.answer;
         loop {
-            let frame = timeout(SILENCE, link.drive(body.frame())).await;
+            let frame = timeout_at(until, link.drive(body.frame())).await;
             let frame = frame.map_err(|_| "the watch fell silent".to_string())?;
             let frame = frame.ok_or("the watch ended")?.map_err(|e| format!("the watch broke: {e}"))?;
-            // Lines come in pieces: only whole ones are read.
-            buffer.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
-            while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-                let line = buffer.split_to(end + 1);
-                let line = line.trim_ascii();
-                self.heard.notify_one();
-                self.failed.set(0);
-                if line.is_empty() {
-                    continue;
-                }
-                let update: Update =
-                    serde_json::from_slice(line).map_err(|e| format!("a line cannot be read: {e}"))?;
+            // Once begun, a message has to end in that time too: blank lines may come within one for ever.
+            let began = !messages.pending();
+            messages.push(frame.data_ref().map_or(&[][..], |data| data));
+            while let Some(update) = messages.next()? {
                 *after = Some(update.generation);
                 host.servers_listed(&update);
             }
-            if buffer.len() > MAX_LINE {
-                return Err("a line is too long".into());
+            if began || !messages.pending() {
+                until = Instant::now() + SILENCE;
+            }
+            if !messages.pending() {
+                self.heard.notify_one();
+                self.failed.set(0);
+            }
+        }
+    }
+}
+
+/// The messages of a watch: one JSON value after the other, with any white space between and within them, in
+/// pieces of any size.
+#[derive(Default)]
+struct Messages {
+    buffer: BytesMut,
+    /// What came since it was last read may complete a value: each ends with a brace.
+    maybe_whole: bool,
+}
+
+impl Messages {
+    fn push(&mut self, piece: &[u8]) {
+        self.buffer.extend_from_slice(piece);
+        self.maybe_whole |= piece.contains(&b'}');
+    }
+
+    /// Whether a part of one has come.
+    fn pending(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The next message that has come whole.
+    fn next(&mut self) -> Result<Option<Update>, String> {
+        let blank = self.buffer.len() - self.buffer.trim_ascii_start().len();
+        self.buffer.advance(blank);
+        if self.maybe_whole && !self.buffer.is_empty() {
+            let mut values = serde_json::Deserializer::from_slice(&self.buffer).into_iter::<Update>();
+            match values.next() {
+                Some(Ok(update)) => {
+                    let end = values.byte_offset();
+                    self.buffer.advance(end);
+                    return Ok(Some(update));
+                }
+                Some(Err(e)) if !e.is_eof() => return Err(format!("a message cannot be read: {e}")),
+                _ => {}
             }
         }
+        self.maybe_whole = false;
+        if self.buffer.len() > MAX_MESSAGE {
+            return Err("a message is too long".into());
+        }
+        Ok(None)
     }
 }
--- a/src/bin/liftrouter/main.rs
+++ b/src/bin/liftrouter/main.rs
@@ -175,7 +175,7 @@
         .unwrap_or_else(|_| config.seed.bytes().fold(0, |seed: u64, b| seed.wrapping_mul(31) ^ u64::from(b)));
     let servers = Servers::new(&settings, budget / 2);
     let counter = Counter::new(config.counter, &settings);
-    let host = Host::new(settings.clone(), seed, servers, counter, Discovery::new(discovery));
+    let host = Host::new(settings.clone(), seed, servers, counter, Discovery::new(discovery, &settings));
     let memory = config.limits.memory_mb.filter(|mb| *mb > 0.0).unwrap_or(MEMORY_MB_DEFAULT);
     let bodies = (memory * BODY_SHARE * 1024.0 * 1024.0) as usize;
     let clients = Clients::new(host.clone(), settings, budget - budget / 2, bodies);
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -356,10 +356,14 @@
     let limiter = Limiter::start(settings(), &discovery, counter().address);
     assert!(discovery.seen()[0].first.starts_with("GET /discovery/hosts?watch=1"));
     wait_until("the first line is known", || limiter.client().ask(&quote("roomy", 9000)).status() == 200);
-    // It ends; then a line is no JSON; then one lacks what an entry needs.
-    for (n, bad) in
-        ["", "{\"generation\": 12, ", "{\"generation\":12,\"instances\":[{\"cell\":1}]}"].iter().enumerate()
-    {
+    // It ends; then a message is no JSON; one never ends; one lacks what an entry needs.
+    let bad = [
+        "",
+        "{\"generation\": 12, ]",
+        "{\"generation\": 12, ",
+        "{\"generation\":12,\"instances\":[{\"cell\":1}]}",
+    ];
+    for (n, bad) in bad.iter().enumerate() {
         if bad.is_empty() {
             discovery.cut();
         } else {
@@ -369,7 +373,7 @@
         assert_eq!(discovery.seen()[n + 1].first, "GET /discovery/hosts?watch=1&after=10 HTTP/1.1");
         assert_eq!(limiter.client().ask(&quote("roomy", 9000)).status(), 200, "the old list holds");
     }
-    wait_until("the faults are logged", || limiter.errors().matches("discovery: ").count() >= 3);
+    wait_until("the faults are logged", || limiter.errors().matches("discovery: ").count() >= 4);
 }
 
 #[test]
