See that a client left behind unread bytes, and end no request at SIGTERM that is half read

Seen, each forced in a test over loopback sockets: - A client that sent bytes behind its request and left was not noticed: its attempt stayed out until the deadline. hyper looks for the end of the stream only where nothing is unread (conn.rs, mid_message_detect_eof). The same hid that a client left while it waited to be accepted; it was sent on. - At SIGTERM, and whenever a connection was at rest, clients.rs exchange closed one whose next head was half read: `quiet` looks at the kernel's buffer, and hyper had taken the half already. - What came on an open connection after SIGTERM had its full time, though SIGKILL comes 0.7 s after the longest deadline, taken as 3 s at most: with deadlines of 60 s it was left open (main.rs, serve).

Design: Socket::peer_left waits for the kernel's word that the peer ended its sending, whatever is unread; it is asked before a request goes to the module and while its answer is waited for. A head that has begun keeps its connection when the limiter ends. After SIGTERM answers are due by the time SIGKILL may come. The listener is looked at once more when no connection is left.

Ruled out by tests that pass without a mend: an attempt that waits for its connection when its client leaves is never sent; a request with 100 kB of unread bytes behind it keeps its answer in shutdown; SIGHUP in shutdown.

Tests seen to fail without the mend: bytes_behind_a_request_do_not_hide..., a_client_that_left_before_it_was_accepted..., sigterm_ends_no_connection..., what_comes_after_sigterm_is_answered_before_sigkill.

--- a/src/bin/liftrouter/clients.rs
+++ b/src/bin/liftrouter/clients.rs
@@ -19,8 +19,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -62,7 +64,8 @@
     /// Ids of the requests that are open.
     open_ids: RefCell<HashSet<HeaderValue>>,
     ready: Cell<bool>,
-    draining: Cell<bool>,
+    /// Since the end has begun: when requests must have been answered at the latest.
+    draining: Cell<Option<Instant>>,
     connections: RefCell<BTreeMap<u64, Rc<Connection>>>,
     next: Cell<u64>,
     closed: Notify,
@@ -106,7 +109,7 @@
             bodies: Cell::new(0),
             open_ids: RefCell::default(),
             ready: Cell::new(false),
-            draining: Cell::new(false),
+            draining: Cell::new(None),
             connections: RefCell::default(),
             next: Cell::new(0),
             closed: Notify::new(),
@@ -139,22 +142,25 @@
         }
     }
 
-    /// Begins the end: answers carry `Connection: close`, idle connections are closed.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// Begins the end: answers carry `Connection: close` and come by `until`, idle connections are closed.
+    pub fn drain(&self, until: Instant) {
+        self.draining.set(Some(until));
         // On those that have not asked yet, a request is most likely on its way.
         for connection in self.connections.borrow().values().filter(|c| c.asked.get()) {
             connection.close.notify_one();
         }
     }
 
-    /// Closes connections as they come to rest, until none is left.
+    /// Closes connections as they come to rest, until none is left, with the kernel either.
     pub async fn all_closed(&self) {
-        while !self.connections.borrow().is_empty() {
+        // One may still wait to be accepted where none is left: a round later it has come.
+        let mut rounds_without = 0;
+        while rounds_without < 2 {
             for connection in self.connections.borrow().values().filter(|c| c.at_rest()) {
                 connection.close.notify_one();
             }
-            let _ = timeout(ACCEPT_PAUSE, self.closed.notified()).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            rounds_without = if self.connections.borrow().is_empty() { rounds_without + 1 } else { 0 };
         }
     }
 
@@ -199,7 +205,9 @@
                 let first = (!state.asked.replace(true)).then(|| state.since.get());
                 let _busy = Busy::new(state.clone());
                 let reply = clients.respond(request, &socket, first).await;
-                state.closing.set(reply.headers().contains_key(CONNECTION));
+                if reply.headers().contains_key(CONNECTION) {
+                    state.closing.set(true);
+                }
                 Ok::<_, Infallible>(reply)
             }
         });
@@ -215,14 +223,23 @@
                     Err(e) => e.is_parse(),
                 },
                 () = state.close.notified() => {
-                    // A request that lies unread would be lost with its connection: it is served first.
-                    if state.busy.get() || socket.quiet() {
-                        if !state.busy.get() && !state.asked.get() {
-                            // Half a head would hold hyper's own shutdown up.
-                            return false;
-                        }
+                    if state.busy.get() {
+                        state.closing.set(true);
                         connection.as_mut().graceful_shutdown();
+                        continue;
+                    }
+                    // A request that lies unread would be lost with its connection, and so would one that is
+                    // half read: it is served first. Where others wait for the place, half a head is no
+                    // request of one that never asked.
+                    let expected = state.asked.get() || self.draining.get().is_some();
+                    if !socket.quiet() || (expected && socket.begun()) {
+                        continue;
+                    }
+                    if !state.asked.get() {
+                        // Half a head would hold hyper's own shutdown up.
+                        return false;
                     }
+                    connection.as_mut().graceful_shutdown();
                 }
             }
         }
@@ -238,7 +255,7 @@
         let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         let raw = if chunked { socket.recorded() } else { Vec::new() };
         socket.record(0);
-        let mut reply = match self.take(request, raw, first).await {
+        let mut reply = match self.take(request, raw, socket, first).await {
             Ok(reply) => reply,
             Err(Rejected(status, why)) => {
                 // What was not read of the request is not to be taken for the next one.
@@ -251,7 +268,7 @@
         };
         socket.record(MAX_HEAD);
         // Behind a chunked body nothing is read as a request, whatever another reader would find there.
-        if chunked || self.draining.get() {
+        if chunked || self.draining.get().is_some() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         reply
@@ -261,10 +278,11 @@
         &self,
         request: Request<Incoming>,
         raw: Vec<u8>,
+        socket: &Socket,
         first: Option<Instant>,
     ) -> Result<Reply, Rejected> {
         if request.uri().path() == "/up" {
-            return Err(match (request.method(), self.ready.get() && !self.draining.get()) {
+            return Err(match (request.method(), self.ready.get() && self.draining.get().is_none()) {
                 (&Method::GET, true) => Rejected(StatusCode::OK, "up\n"),
                 (&Method::GET, false) => Rejected(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
                 _ => Rejected(StatusCode::METHOD_NOT_ALLOWED, "only GET\n"),
@@ -300,6 +318,7 @@
         }
         // The last byte has come: from here on the request is taken and owed one answer.
         let due = Instant::now() + checked.time_left.saturating_sub(MARGIN);
+        let due = self.draining.get().map_or(due, |until| due.min(until));
         let target =
             head.uri.path_and_query().cloned().ok_or(Rejected(StatusCode::NOT_FOUND, "no path\n"))?;
         // Ids are new with every request. One that is open already is a copy: passed on, it would be a second
@@ -324,10 +343,22 @@
                 due,
             },
         };
+        // hyper sees that a client left only where nothing is unread behind its request. One that left while
+        // its connection waited to be accepted is not sent on at all.
+        const LEFT: Rejected = Rejected(StatusCode::BAD_GATEWAY, "failed: the client has left\n");
+        let mut left = pin!(socket.peer_left());
+        if poll_fn(|cx| Poll::Ready(left.as_mut().poll(cx).is_ready())).await {
+            return Err(LEFT);
+        }
         let (id, answer) = self.host.arrived(arrival);
         // Dropped before the answer has come, this future belongs to a client that left.
         let _gone = Gone { host: self.host.clone(), id };
-        Ok(match answer.await {
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer,
+            () = left => return Err(LEFT),
+        };
+        Ok(match answer {
             Ok(Answer::Served(answer)) => {
                 let (head, body) = answer.into_parts();
                 let mut reply = Response::new(Full::new(body));
--- a/src/bin/liftrouter/link.rs
+++ b/src/bin/liftrouter/link.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::future::{poll_fn, Future};
+use std::future::{pending, poll_fn, Future};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
@@ -110,6 +110,20 @@
         let _ = timeout(time, discard).await;
     }
 
+    /// Waits until the peer has closed or ended its sending, also behind bytes that nobody has read.
+    pub async fn peer_left(&self) {
+        // Of this interest the socket reports nothing but the end of what comes in.
+        match self.stream.ready(Interest::PRIORITY).await {
+            Ok(ready) if !ready.is_read_closed() => pending().await,
+            _ => {}
+        }
+    }
+
+    /// Whether a part of a message has come since [`Socket::record`].
+    pub fn begun(&self) -> bool {
+        !self.recorded.borrow().is_empty()
+    }
+
     /// Whether the connection is open and has nothing to read. Asks the kernel, since the runtime may not
     /// have noticed yet.
     pub fn quiet(&self) -> bool {
--- a/src/bin/liftrouter/main.rs
+++ b/src/bin/liftrouter/main.rs
@@ -29,11 +29,13 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// After SIGTERM new connections go on coming for up to 0.4 s; they are accepted for at least this long, and
 /// for as long as anything is open.
 const ACCEPT_ON: Duration = Duration::from_millis(600);
+/// SIGKILL comes 0.7 s after the longest deadline, or after this many seconds where that is longer.
+const KILL_MOST: f64 = 3.0;
 /// And what is open is finished for at most this time beyond the longest deadline.
 const FINISH: Duration = Duration::from_millis(50);
 /// How long the first news of discovery is waited for before clients are let in with the list at hand.
@@ -208,7 +210,9 @@
 
     terminated.recv().await;
     log("liftrouter", format_args!("SIGTERM: finishing {} requests", host.open_requests()));
-    clients.drain();
+    // SIGKILL does not wait for what came late: that has to be answered by then.
+    let answered = Duration::from_secs_f64(longest.clamp(0.0, KILL_MOST)) + ACCEPT_ON;
+    clients.drain(Instant::now() + answered);
     tokio::time::sleep(ACCEPT_ON).await;
     let rest = Duration::from_secs_f64(longest.clamp(0.0, 60.0)) + FINISH;
     // Connections that are left then carry no request, or one that has not come whole.
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -2,6 +2,9 @@
 mod common;
 
 use common::sockets::*;
+use serde_json::json;
+use std::io::Read;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,6 +21,95 @@
     assert_eq!(server.count(), 1, "nothing more goes out for it");
 }
 
+#[test]
+fn bytes_behind_a_request_do_not_hide_that_its_client_left() {
+    let server = Fake::new(|_| Reply::Silence);
+    let discovery = discovery(vec![instance("s-0", server.address, "in_service")]);
+    let mut settings = settings();
+    // So long that no deadline ends the attempt while the test waits.
+    settings["classes"][0]["deadline-s"] = json!(120.0);
+    let limiter = Limiter::start(settings, &discovery, counter().address);
+    for (n, half) in [false, true].into_iter().enumerate() {
+        let mut client = limiter.client();
+        client.send(&(quote("roomy", 120_000) + &quote("roomy", 120_000) + &"x".repeat(100_000)));
+        wait_until("the request is out", || server.count() == n + 1);
+        if half {
+            // Whoever ends its sending has left: it may read no more.
+            client.end_sending();
+        } else {
+            client.close();
+        }
+        wait_until("its attempt is closed", || server.ended() == n as u32 + 1);
+    }
+    assert_eq!(server.count(), 2, "what stood behind is not sent on");
+}
+
+#[test]
+fn a_client_that_leaves_while_its_attempt_waits_for_a_connection_is_not_sent_on() {
+    let (listener, stuck, filled) = never_up();
+    let discovery = discovery(vec![instance("s-0", stuck, "in_service")]);
+    let mut settings = settings();
+    settings["limits"]["connect-timeout-s"] = json!(60.0);
+    settings["classes"][0]["deadline-s"] = json!(120.0);
+    let limiter = Limiter::start(settings, &discovery, counter().address);
+    for behind in ["", "GET /more"] {
+        let mut client = limiter.client();
+        client.send(&(quote("roomy", 120_000) + behind));
+        client.close();
+    }
+    // What was sent before has been read once a later request is answered.
+    assert_eq!(limiter.client().ask("GET /up HTTP/1.1\r\n\r\n").status(), 200);
+    // Now the connections come up. Those that the limiter still has would carry the requests at once.
+    drop(filled);
+    let mut accepted: Vec<TcpStream> = Vec::new();
+    let mut client = limiter.client();
+    let last = quote("roomy", 120_000);
+    client.send(&last);
+    let id = last.split("X-Correlation-Id: ").nth(1).and_then(|rest| rest.get(..16)).expect("an id");
+    listener.set_nonblocking(true).expect("set");
+    let (mut came, mut buffer) = (String::new(), [0; 4096]);
+    wait_until("a request comes", || {
+        while let Ok((socket, _)) = listener.accept() {
+            let stream: TcpStream = socket.into();
+            stream.set_nonblocking(true).expect("set");
+            accepted.push(stream);
+        }
+        for stream in &mut accepted {
+            if let Ok(n) = stream.read(&mut buffer) {
+                came += &String::from_utf8_lossy(&buffer[..n]);
+            }
+        }
+        came.contains(id)
+    });
+    assert_eq!(came.matches("GET /quote").count(), 1, "{came}");
+}
+
+#[test]
+fn a_client_that_left_before_it_was_accepted_is_not_sent_on() {
+    let server = Fake::new(|_| ok("served"));
+    let discovery = discovery(vec![instance("s-0", server.address, "in_service")]);
+    // Room for some twenty clients, all taken by those whose body does not come.
+    let limiter = Limiter::with_sockets(72, settings(), &discovery, counter().address);
+    let body = post("bind", "12345678");
+    let busy: Vec<Client> = (0..60)
+        .map(|_| {
+            let mut client = limiter.client();
+            client.send(&body[..body.len() - 4]);
+            client
+        })
+        .collect();
+    let mut left = limiter.client();
+    let request = quote("roomy", 9000);
+    left.send(&(request.clone() + "GET /more"));
+    left.close();
+    // Connections are accepted in their order: this one comes behind the one that left.
+    assert_eq!(limiter.client().ask(&quote("roomy", 9000)).status(), 200);
+    let id = request.split("X-Correlation-Id: ").nth(1).and_then(|rest| rest.get(..16)).expect("an id");
+    let own = server.seen().into_iter().filter(|m| m.header("x-correlation-id") == Some(id));
+    assert_eq!(own.count(), 0);
+    drop(busy);
+}
+
 #[test]
 fn what_is_malformed_reaches_no_server() {
     let server = Fake::new(|_| ok("served"));
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -406,6 +406,10 @@
     pub fn close(self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
+
+    pub fn end_sending(&self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
 }
 
 static NEXT_ID: AtomicU32 = AtomicU32::new(1);
@@ -429,3 +433,20 @@
         body.len()
     )
 }
+
+/// An address at which nobody listens, until the socket is told to. It is held, so that no other test gets it.
+pub fn nobody() -> (socket2::Socket, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bind");
+    let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("address");
+    (socket, address)
+}
+
+/// A listener whose queue is full: connections to it neither come up nor fail.
+pub fn never_up() -> (socket2::Socket, SocketAddr, Vec<TcpStream>) {
+    let (socket, address) = nobody();
+    socket.listen(0).expect("listen");
+    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
+    let filled = std::iter::from_fn(|| fill().ok()).collect();
+    (socket, address, filled)
+}
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -3,7 +3,7 @@
 
 use common::sockets::*;
 use serde_json::json;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
@@ -17,14 +17,6 @@
     move |_| if count.fetch_add(1, Ordering::SeqCst) < n { rule() } else { ok("late but good") }
 }
 
-/// An address at which nobody listens, until the socket is told to. It is held, so that no other test gets it.
-fn nobody() -> (socket2::Socket, SocketAddr) {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("socket");
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bind");
-    let address = socket.local_addr().ok().and_then(|a| a.as_socket()).expect("address");
-    (socket, address)
-}
-
 // ----- relaying -----
 
 #[test]
@@ -281,15 +273,6 @@
 
 // ----- discovery -----
 
-/// A listener whose queue is full: connections to it neither come up nor fail.
-fn never_up() -> (socket2::Socket, SocketAddr, Vec<TcpStream>) {
-    let (socket, address) = nobody();
-    socket.listen(0).expect("listen");
-    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
-    let filled = std::iter::from_fn(|| fill().ok()).collect();
-    (socket, address, filled)
-}
-
 #[test]
 fn a_server_that_drains_while_it_is_connected_to_gets_nothing() {
     let (listener, stuck, filled) = never_up();
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -2,6 +2,7 @@
 mod common;
 
 use common::sockets::*;
+use serde_json::json;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -95,3 +96,48 @@
     assert!(busy.answer().is_none(), "and then its connection is closed");
     assert_eq!(limiter.wait().code(), Some(0));
 }
+
+#[test]
+fn sigterm_ends_no_connection_on_which_a_request_is_half_read() {
+    let server = Fake::new(|_| ok("served"));
+    let mut limiter = Limiter::over(&[&server]);
+    let (mut half, mut fresh, mut idle) = (limiter.client(), limiter.client(), limiter.client());
+    for client in [&mut half, &mut idle] {
+        assert_eq!(client.ask(&quote("roomy", 9000)).status(), 200);
+    }
+    let (next, first) = (quote("roomy", 9000), post("bind", "12345678"));
+    half.send(&next[..40]);
+    fresh.send(&first[..40]);
+    // What was sent before has been read once a later request is answered.
+    assert_eq!(limiter.client().ask(&quote("roomy", 9000)).status(), 200);
+    limiter.terminate();
+    assert!(idle.answer().is_none(), "an idle connection is closed");
+    // Past the time for which new connections are accepted in any case, whatever is at rest is closed.
+    std::thread::sleep(Duration::from_millis(1_000));
+    half.send(&next[40..]);
+    fresh.send(&first[40..first.len() - 1]);
+    let answer = half.answer().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    // More than the rest of the request, unread when the answer is written: no reset may destroy that.
+    fresh.send(&format!("8{}", "x".repeat(100_000)));
+    assert_eq!(fresh.answer().expect("an answer").status(), 200);
+    assert_eq!(limiter.wait().code(), Some(0));
+}
+
+#[test]
+fn what_comes_after_sigterm_is_answered_before_sigkill() {
+    let server = Fake::new(|_| Reply::Silence);
+    let discovery = discovery(vec![instance("s-0", server.address, "in_service")]);
+    let mut settings = settings();
+    settings["classes"][0]["deadline-s"] = json!(60.0);
+    let mut limiter = Limiter::start(settings, &discovery, counter().address);
+    let mut client = limiter.client();
+    limiter.terminate();
+    wait_until("it has begun to end", || limiter.errors().contains("SIGTERM"));
+    let began = Instant::now();
+    client.send(&quote("roomy", 60_000));
+    // 3 s stand for a longer deadline, and 0.7 s more; the machine may be slow.
+    assert!(client.answer().is_some_and(|answer| answer.status() >= 429));
+    assert!(began.elapsed() < Duration::from_secs(8), "{:?}", began.elapsed());
+    assert_eq!(limiter.wait().code(), Some(0));
+}
