Ask for a pushed list again within half a second, so that a returned discovery is heard in time

Seen: after an outage all that discovery tells counts at once, and drains must be kept 2 s later.

Cause: follow.rs, PAUSE: up to 2.5 s between calls, on top of a call in vain.

Now 0.5 s where the list comes by itself, which costs nothing: no lines are sent in vain. Where it is asked for, all stays.

The return of a watch is logged. The test was seen to fail without the mend.

--- a/src/bin/liftrouter/discovery.rs
+++ b/src/bin/liftrouter/discovery.rs
@@ -207,7 +207,10 @@
             }
             if !messages.pending() {
                 self.heard.notify_one();
-                self.failed.set(0);
+                let failed = self.failed.replace(0);
+                if failed > 0 {
+                    log("discovery", format_args!("the watch is back (after {failed} failures)"));
+                }
             }
         }
     }
--- a/src/logic/follow.rs
+++ b/src/logic/follow.rs
@@ -4,11 +4,13 @@
 
 use crate::interface::Settings;
 
-/// Seconds before the first further call at most, and before any later one where the list comes by itself:
-/// what it tells counts as told after some seconds, and drains must be kept by then.
-const PAUSE: (f64, f64) = (0.2, 2.5);
-/// Where each call costs discovery work, the longest pause as a share of the time in which a limiter must
-/// have asked; after a failed call that time is four times as long.
+/// Seconds before the first further call at most, and before any later one where the list comes by itself: what
+/// it tells after an outage counts at once, and drains must be kept 2 s later. Such calls cost nothing, since
+/// the limiter's own machine answers them.
+const PAUSE: (f64, f64) = (0.2, 0.5);
+/// Where each call costs discovery work, the longest pause in seconds at least, and as a share of the time in
+/// which a limiter must have asked; after a failed call that time is four times as long.
+const ASKED_LEAST: f64 = 2.5;
 const ASKED_SHARE: f64 = 2.0;
 /// How much longer each pause is than the one before.
 const GROWTH: f64 = 4.0;
@@ -29,7 +31,7 @@
     /// A list that comes by itself is asked for only once it broke.
     pub(super) fn new(set: &Settings, now: f64) -> Self {
         let on_request = set.discovery_on_request;
-        let longest = if on_request { PAUSE.1.max(ASKED_SHARE * set.must_ask_in) } else { PAUSE.1 };
+        let longest = if on_request { ASKED_LEAST.max(ASKED_SHARE * set.must_ask_in) } else { PAUSE.1 };
         Following { due: on_request.then_some(now), failed: 0, longest }
     }
 
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -228,6 +228,24 @@
     assert!(busiest < Some(90), "{busiest:?} of 100 in one tenth of a second");
 }
 
+#[test]
+fn a_list_that_comes_by_itself_is_asked_for_again_and_again_without_a_long_pause() {
+    // What discovery tells when it is back counts at once: a pause on top of a call in vain must leave time.
+    let mut limiter = Limiter::new(settings(), 7, 100.0);
+    let mut now = 100.0;
+    for call in 0..40 {
+        let mut out = Vec::new();
+        limiter.handle(now, Event::DiscoveryBroken, &mut out);
+        let broken = now;
+        while !out.contains(&Action::FollowServers) {
+            now += 0.01;
+            out.clear();
+            limiter.handle(now, Event::Timer { token: 0 }, &mut out);
+            assert!(now - broken < 0.6, "call {call}");
+        }
+    }
+}
+
 #[test]
 fn news_of_the_list_end_the_pauses() {
     let mut limiter = Limiter::new(settings(), 7, 100.0);
