Let nothing of a simulated instance that ended reach the next one under its number

Seen, in a test on the wire: where a batch held SUBMIT, DESTROY and PROVISION of one instance, the reply held the ASSIGN of the one that had ended; to the simulator that refers to a request the new one was never given, which is a fault. An ALARM that the first had set woke the second, which from then on ticked twice as often.

Timers of later lives carry their number.

The test was seen to fail without the mend.

--- a/src/bin/liftrouter-sim/wire.rs
+++ b/src/bin/liftrouter-sim/wire.rs
@@ -83,6 +83,8 @@
     List(PendingList),
     /// An event for an instance.
     Event(u32, Event),
+    /// A timer fell due that an instance set in its nth life.
+    Alarm(u32, u32, u64),
     /// Nothing that concerns the module.
     Skip,
 }
@@ -236,10 +238,14 @@
             },
         ),
         // A timer this host never set is one nobody wants.
-        "ALARM" => match line.part(2, "ref")?.parse() {
-            Ok(token) => Message::Event(instance, Event::Timer { token }),
-            Err(_) => Message::Skip,
-        },
+        "ALARM" => {
+            let token = line.part(2, "ref")?;
+            let (token, life) = token.split_once('.').unwrap_or((token, "0"));
+            match (token.parse(), life.parse()) {
+                (Ok(token), Ok(life)) => Message::Alarm(instance, life, token),
+                _ => Message::Skip,
+            }
+        }
         _ => Message::Skip,
     })
 }
@@ -269,15 +275,17 @@
     Ok(report)
 }
 
-/// Writes one action as a line.
-pub fn write(out: &mut impl Write, instance: u32, action: &Action) -> io::Result<()> {
+/// Writes one action as a line, for an instance in its nth life.
+pub fn write(out: &mut impl Write, (instance, life): (u32, u32), action: &Action) -> io::Result<()> {
     match action {
         Action::Send { id, server, timeout } => writeln!(out, "ASSIGN {instance} {id} {timeout} {server}"),
         Action::Refuse { id, retry_after } => writeln!(out, "SAY_NO {instance} {id} {retry_after}"),
         Action::Fail { id } => writeln!(out, "END_FAILED {instance} {id}"),
         Action::Cancel { id, attempt } => writeln!(out, "STOP_ATTEMPT {instance} {id} {attempt}"),
         Action::Count { name, add, lives } => writeln!(out, "INCR {instance} {name} {add} {lives}"),
-        Action::SetTimer { at, token } => writeln!(out, "DEFER {instance} {at} {token}"),
+        Action::SetTimer { at, token } if life == 0 => writeln!(out, "DEFER {instance} {at} {token}"),
+        // Timers cannot be taken back: one that is left over must not wake the next limiter of this number.
+        Action::SetTimer { at, token } => writeln!(out, "DEFER {instance} {at} {token}.{life}"),
         Action::Probe { server } => writeln!(out, "TEST {instance} {server}"),
         Action::FollowServers => writeln!(out, "FOLLOW {instance} 1"),
     }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -93,3 +93,34 @@
     assert!(run("").status.success());
     assert!(run(&start()).status.success());
 }
+
+#[test]
+fn an_instance_that_starts_anew_has_nothing_of_the_one_before() {
+    let config = CONFIG.replace('\n', "");
+    let list = "REGISTRY 0 stale_copy 1 1\nITEM s:1 a std 0 in_service 1 -\n";
+    let submit = |id: u32| format!("SUBMIT 0 {id} 0 0 14.5 2 1 0 plain read key:a\n");
+    // In one batch: it gets a request, ends, and another starts under its number; a neighbour goes on.
+    let out = run(&(start()
+        + &format!("TURN 10.5 2\nPROVISION 1 7 {config}\n{}", list.replace("REGISTRY 0", "REGISTRY 1"))
+        + &submit(5)
+        + "SUBMIT 1 6 0 0 14.5 2 1 0 plain read key:a\nDESTROY 0\n"
+        + &format!("PROVISION 0 8 {config}\n{list}{}OVER_TO_YOU\n", submit(7))
+        // A timer of the first, an outcome of its request, and one that nobody set.
+        + "TURN 10.6 3\nALARM 0 0\nENDED 0 5 0 0 0 s:1 0.1 301 - -\nALARM 0 0.9\nOVER_TO_YOU\n"
+        + "TURN 10.7 4\nALARM 0 0.1\nOVER_TO_YOU\n"
+        // And one that ends for good does nothing more, whatever it has just been asked.
+        + &format!("TURN 10.8 5\n{}DESTROY 0\nOVER_TO_YOU\n", submit(8))));
+    let text = stdout(&out);
+    assert!(out.status.success(), "{text}");
+    let batch = |n: u32| {
+        let after = text.split(&format!("NEXT {}\n", n - 1)).nth(1).unwrap_or_default();
+        after.split(&format!("NEXT {n}\n")).next().unwrap_or_default().to_string()
+    };
+    assert!(!batch(2).contains("ASSIGN 0 5 "), "the first is gone: {}", batch(2));
+    for kept in ["ASSIGN 1 6 0 s:1\n", "ASSIGN 0 7 0 s:1\n", "DEFER 0 10.55 0.1\n"] {
+        assert!(batch(2).contains(kept), "{kept}: {}", batch(2));
+    }
+    assert_eq!(batch(3), "", "nothing of the first wakes the second");
+    assert!(batch(4).contains("DEFER 0 "), "its own timers do: {}", batch(4));
+    assert_eq!(batch(5), "");
+}
