Refuse repeats of customers not counted yet where each bucket holds less than a request

Where totals were known they were a quarter of the truth (true demand 32.7 units a second, known 8.31): counted() averaged the first totals with the nothing before them.

Lines at fault: logic.rs grant and counted. A shared list of heavy customers was reckoned and left: more calls than the counter takes.

Now, where a plan's burst over the customer's limiters is below one unit, a repeat is refused by a limiter without totals, told to come back when the quota has filled by as much, and first totals count as they are.

Both tests were seen to fail without the mend.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -172,6 +172,12 @@
     weighted.max(fallback.min(weighted + (quota - t.used).max(0.0)))
 }
 
+/// Whether a plan's burst, spread over a customer's limiters, is less than the least request at each: nearly
+/// all that comes then finds a bucket that holds one request all the same, and no totals yet.
+fn scattered(plan: &Plan, width: f64) -> bool {
+    plan.rate > 0.0 && plan.depth / width < 1.0
+}
+
 impl Customer {
     /// Refills the bucket and the ceiling's share; gives the limit and what the bucket may borrow.
     /// Tokens above a lowered depth are kept.
@@ -314,7 +320,11 @@
         c.called = now;
         c.gap = fresh(c.gap, own_span, GAP_GAIN);
         let memory = (MEMORY.0 * c.gap).clamp(MEMORY.0 * PERIOD, MEMORY.1 * NAME_TIME);
-        let mean = |old, steps, span: f64| fresh(old, steps * grain / span, 1.0 - (-span / memory).exp());
+        // A customer met seldom is judged by its first totals: those are not averaged with the nothing before
+        // them, but for a short span.
+        let first = last.is_none() && scattered(&self.set.plans[c.plan], c.width);
+        let fades = if first { MEMORY.0 * PERIOD } else { memory };
+        let mean = |old, steps, span: f64| fresh(old, steps * grain / span, 1.0 - (-span / fades).exp());
         let t = last.unwrap_or_default();
         c.totals = Some(Totals {
             own: mean(t.own, own_used + own_refused, own_span),
@@ -336,10 +346,15 @@
     }
 
     /// The bucket and the ceiling. `Err` is the time after which a refused client may come back.
-    fn grant(&mut self, key: &Arc<str>, units: f64) -> Result<(), f64> {
+    fn grant(&mut self, key: &Arc<str>, units: f64, repeat: bool) -> Result<(), f64> {
         let alive = self.counter_misses < COUNTER_MISSES;
         let Some(c) = self.customers.get_mut(key) else { return Err(0.0) };
         let plan = &self.set.plans[c.plan];
+        if repeat && c.totals.is_none() && scattered(plan, c.width) {
+            // Refused by a limiter that knew more, or at a moment when the servers were full: each of hundreds
+            // would let it in once. The quota itself has filled by as much after this time.
+            return Err(units / plan.rate);
+        }
         let (limit, loan) = c.refill(plan, units, alive, self.now);
         if plan.rate > 0.0 && c.tokens + loan < units {
             // Where the quota is idle, the next news of the totals is worth more than the wait for tokens.
@@ -658,7 +673,7 @@
         let (units, key) = (r.units.max(0.0), &r.customer);
         self.retry_saved = (self.retry_saved + RETRY.0).min(RETRY.1);
         self.customer(key, plan, r.width, units);
-        if let Err(wait) = self.grant(key, units) {
+        if let Err(wait) = self.grant(key, units, r.repeat) {
             if !r.repeat {
                 // Refused again is the same demand, already counted where it first came.
                 self.tell(key, units, false, out);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -100,6 +100,17 @@
     }
 
     pub fn ask(&mut self, customer: &str, plan: &str, class: &str, units: f64) -> (u64, Vec<Action>) {
+        self.ask_marked(customer, plan, class, units, false)
+    }
+
+    pub fn ask_marked(
+        &mut self,
+        customer: &str,
+        plan: &str,
+        class: &str,
+        units: f64,
+        repeat: bool,
+    ) -> (u64, Vec<Action>) {
         self.next += 1;
         let request = Request {
             id: self.next,
@@ -108,7 +119,7 @@
             class: class.into(),
             units,
             width: self.width,
-            repeat: false,
+            repeat,
             due: self.now + 4.0,
         };
         (self.next, self.event(Event::Request(request)))
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -319,3 +319,39 @@
     let (crowded, full) = (calls(0.045, Outcome::Ok), calls(0.002, Outcome::Full));
     assert!((1..40).contains(&crowded) && (1..40).contains(&full), "{crowded} and {full} of 200 tries");
 }
+
+/// A host among three hundred limiters, all of which a customer can come through.
+fn among_hundreds() -> Host {
+    let mut h = Host::new(Settings { peers: 300, ..settings() }).warm();
+    h.width = 300;
+    h
+}
+
+#[test]
+fn of_hundreds_of_limiters_none_that_knows_nothing_lets_a_repeat_in() {
+    let ask = |h: &mut Host, customer, repeat| h.ask_marked(customer, "plain", "read", 1.0, repeat).1;
+    let mut h = among_hundreds();
+    assert!(sent_to(&ask(&mut h, "a", false)).is_some(), "a new customer finds a full bucket");
+    let out = ask(&mut h, "b", true);
+    let advice = out.iter().find_map(|a| match a {
+        Action::Refuse { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(sent_to(&out).is_none() && advice > Some(0.0), "{out:?}");
+    // Where a few share it, the bucket of each holds its part of the burst.
+    h.width = 2;
+    assert!(sent_to(&ask(&mut h, "c", true)).is_some());
+}
+
+#[test]
+fn the_first_totals_of_a_customer_met_seldom_are_taken_as_they_are() {
+    // Its totals say that others use more than the quota: with a mean that begins at nothing, a part of that
+    // would seem idle and would be lent.
+    let mut h = among_hundreds();
+    h.now = (h.now / 20.0).ceil() * 20.0 + 10.0;
+    assert!(h.served("c", "plain", 2.0));
+    // In the ten seconds of this name.
+    assert_eq!(h.count(|add| (Outcome::Ok, add + 128.0)), 1);
+    h.now += 0.6;
+    assert!(!h.served("c", "plain", 2.0), "the quota is used up");
+}
