Tell every refused client when to come back, as the settings allow

Seen: refusals for want of a server, for pressed servers, after attempts that all failed, and beyond a bucket without totals carried no Retry-After, though the settings allow it (logic.rs admit, give_up and grant passed 0). All are still answered at once.

Design: half an aim where the servers had no room or gave no answer, within which much of what waited is worked off; the time to fill the bucket where that was short.

The test was seen to fail without the mend.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,6 +77,9 @@
 /// a limiter that puts most of the load on its servers knows the least busy one, and the more limiters share
 /// them, the more all would choose the same. Many choose at random, and the better of two.
 const COMPARED: (f64, f64) = (4.0, 2.0);
+/// Aims after which a client should come back for whom the servers had no room, or no answer: much of what
+/// waited is worked off then.
+const COME_BACK: f64 = 0.5;
 /// Slowness that a server shows by turning work away.
 const FULL_SLOW: f64 = 10.0;
 /// Share of a cold server's allowance that is used, and its sends in an overload window without warm ones.
@@ -360,7 +363,7 @@
             // Where the quota is idle, the next news of the totals is worth more than the wait for tokens.
             let wait = (units - c.tokens - loan) / limit.max(1e-3);
             let most = if loan > 0.0 { (c.next_call - self.now).max(0.0) } else { wait };
-            return Err(if c.totals.is_none() { 0.0 } else { wait.min(most) });
+            return Err(wait.min(most));
         }
         if plan.hard_rate > 0.0 && c.ceiling < units {
             return Err((units - c.ceiling) / (plan.hard_rate / c.width));
@@ -692,7 +695,7 @@
         let first = if beyond { PRESS_BEYOND } else { 1.0 };
         let yields = self.fleet.load.press() * worth * first > self.rng.f64();
         let server = if yields || self.capped(key) { None } else { self.choose(&open, draw) };
-        let Some(server) = server else { return self.refuse(r.id, 0.0, out) };
+        let Some(server) = server else { return self.refuse(r.id, COME_BACK * self.aim(), out) };
         self.customers
             .entry(key.clone())
             .and_modify(|c| (c.tokens, c.ceiling) = (c.tokens - units, c.ceiling - units));
@@ -861,7 +864,7 @@
         let class = &self.set.classes[r.class];
         let shared = class.effect == Effect::Keyed && class.scope == Scope::All;
         if class.effect == Effect::ReadLike || shared || !r.may_have_run() {
-            return self.refuse(id, 0.0, out);
+            return self.refuse(id, COME_BACK * self.aim(), out);
         }
         out.push(Action::Fail { id });
         self.finish(id, out);
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -210,3 +210,35 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn whoever_is_refused_is_told_when_to_come_back() {
+    let advice = |out: &[Action]| {
+        out.iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        })
+    };
+    for may_advise in [true, false] {
+        let told = |advice: Option<f64>| advice.is_some_and(|a| (a > 0.0) == may_advise);
+        let set = Settings { may_advise, max_advice: 2.0, ..settings() };
+        // All its attempts were turned away.
+        let mut h = Host::new(set.clone());
+        let (id, mut out) = h.ask("a", "plain", "read", 1.0);
+        for n in 0.. {
+            if sent_to(&out).is_none() {
+                break;
+            }
+            out = h.end(id, n, Outcome::Full, None);
+        }
+        assert!(told(advice(&out)), "given up: {out:?}");
+        // No server takes anything.
+        h.event(Event::ServerList(Vec::new()));
+        let (_, out) = h.ask("b", "plain", "read", 1.0);
+        assert!(told(advice(&out)), "no server: {out:?}");
+        // The bucket is spent, and no totals are known.
+        let mut h = Host::new(set);
+        let out = (0..200).map(|_| h.ask("c", "plain", "read", 4.0).1).find(|out| refused(out) > 0);
+        assert!(told(out.and_then(|out| advice(&out))), "beyond the bucket");
+    }
+}
