--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,6 +77,9 @@
 /// a limiter that puts most of the load on its servers knows the least busy one, and the more limiters share
 /// them, the more all would choose the same. Many choose at random, and the better of two.
 const COMPARED: (f64, f64) = (4.0, 2.0);
+/// Aims after which a client should come back for whom the servers had no room, or no answer: much of what
+/// waited is worked off then.
+const COME_BACK: f64 = 0.5;
 /// Slowness that a server shows by turning work away.
 const FULL_SLOW: f64 = 10.0;
 /// Share of a cold server's allowance that is used, and its sends in an overload window without warm ones.
@@ -172,6 +175,12 @@
     weighted.max(fallback.min(weighted + (quota - t.used).max(0.0)))
 }
 
+/// Whether a plan's burst, spread over a customer's limiters, is less than the least request at each: nearly
+/// all that comes then finds a bucket that holds one request all the same, and no totals yet.
+fn scattered(plan: &Plan, width: f64) -> bool {
+    plan.rate > 0.0 && plan.depth / width < 1.0
+}
+
 impl Customer {
     /// Refills the bucket and the ceiling's share; gives the limit and what the bucket may borrow.
     /// Tokens above a lowered depth are kept.
@@ -314,7 +323,11 @@
         c.called = now;
         c.gap = fresh(c.gap, own_span, GAP_GAIN);
         let memory = (MEMORY.0 * c.gap).clamp(MEMORY.0 * PERIOD, MEMORY.1 * NAME_TIME);
-        let mean = |old, steps, span: f64| fresh(old, steps * grain / span, 1.0 - (-span / memory).exp());
+        // A customer met seldom is judged by its first totals: those are not averaged with the nothing before
+        // them, but for a short span.
+        let first = last.is_none() && scattered(&self.set.plans[c.plan], c.width);
+        let fades = if first { MEMORY.0 * PERIOD } else { memory };
+        let mean = |old, steps, span: f64| fresh(old, steps * grain / span, 1.0 - (-span / fades).exp());
         let t = last.unwrap_or_default();
         c.totals = Some(Totals {
             own: mean(t.own, own_used + own_refused, own_span),
@@ -336,16 +349,21 @@
     }
 
     /// The bucket and the ceiling. `Err` is the time after which a refused client may come back.
-    fn grant(&mut self, key: &Arc<str>, units: f64) -> Result<(), f64> {
+    fn grant(&mut self, key: &Arc<str>, units: f64, repeat: bool) -> Result<(), f64> {
         let alive = self.counter_misses < COUNTER_MISSES;
         let Some(c) = self.customers.get_mut(key) else { return Err(0.0) };
         let plan = &self.set.plans[c.plan];
+        if repeat && c.totals.is_none() && scattered(plan, c.width) {
+            // Refused by a limiter that knew more, or at a moment when the servers were full: each of hundreds
+            // would let it in once. The quota itself has filled by as much after this time.
+            return Err(units / plan.rate);
+        }
         let (limit, loan) = c.refill(plan, units, alive, self.now);
         if plan.rate > 0.0 && c.tokens + loan < units {
             // Where the quota is idle, the next news of the totals is worth more than the wait for tokens.
             let wait = (units - c.tokens - loan) / limit.max(1e-3);
             let most = if loan > 0.0 { (c.next_call - self.now).max(0.0) } else { wait };
-            return Err(if c.totals.is_none() { 0.0 } else { wait.min(most) });
+            return Err(wait.min(most));
         }
         if plan.hard_rate > 0.0 && c.ceiling < units {
             return Err((units - c.ceiling) / (plan.hard_rate / c.width));
@@ -658,7 +676,7 @@
         let (units, key) = (r.units.max(0.0), &r.customer);
         self.retry_saved = (self.retry_saved + RETRY.0).min(RETRY.1);
         self.customer(key, plan, r.width, units);
-        if let Err(wait) = self.grant(key, units) {
+        if let Err(wait) = self.grant(key, units, r.repeat) {
             if !r.repeat {
                 // Refused again is the same demand, already counted where it first came.
                 self.tell(key, units, false, out);
@@ -677,7 +695,7 @@
         let first = if beyond { PRESS_BEYOND } else { 1.0 };
         let yields = self.fleet.load.press() * worth * first > self.rng.f64();
         let server = if yields || self.capped(key) { None } else { self.choose(&open, draw) };
-        let Some(server) = server else { return self.refuse(r.id, 0.0, out) };
+        let Some(server) = server else { return self.refuse(r.id, COME_BACK * self.aim(), out) };
         self.customers
             .entry(key.clone())
             .and_modify(|c| (c.tokens, c.ceiling) = (c.tokens - units, c.ceiling - units));
@@ -846,7 +864,7 @@
         let class = &self.set.classes[r.class];
         let shared = class.effect == Effect::Keyed && class.scope == Scope::All;
         if class.effect == Effect::ReadLike || shared || !r.may_have_run() {
-            return self.refuse(id, 0.0, out);
+            return self.refuse(id, COME_BACK * self.aim(), out);
         }
         out.push(Action::Fail { id });
         self.finish(id, out);
