--- a/src/logic.rs
+++ b/src/logic.rs
@@ -354,8 +354,8 @@
         let Some(c) = self.customers.get_mut(key) else { return Err(0.0) };
         let plan = &self.set.plans[c.plan];
         if repeat && c.totals.is_none() && scattered(plan, c.width) {
-            // Refused by a limiter that knew more, or at a moment when the servers were full: each of hundreds
-            // would let it in once. The quota itself has filled by as much after this time.
+            // Refused by a limiter that knew more, or at a moment when the servers were full: each of
+            // hundreds would let it in once. The quota itself has filled by as much after this time.
             return Err(units / plan.rate);
         }
         let (limit, loan) = c.refill(plan, units, alive, self.now);
--- a/src/logic/follow.rs
+++ b/src/logic/follow.rs
@@ -4,9 +4,9 @@
 
 use crate::interface::Settings;
 
-/// Seconds before the first further call at most, and before any later one where the list comes by itself: what
-/// it tells after an outage counts at once, and drains must be kept 2 s later. Such calls cost nothing, since
-/// the limiter's own machine answers them.
+/// Seconds before the first further call at most, and before any later one where the list comes by itself:
+/// what it tells after an outage counts at once, and drains must be kept 2 s later. Such calls cost nothing,
+/// since the limiter's own machine answers them.
 const PAUSE: (f64, f64) = (0.2, 0.5);
 /// Where each call costs discovery work, the longest pause in seconds at least, and as a share of the time in
 /// which a limiter must have asked; after a failed call that time is four times as long.
