Start without a known list that cannot be read, instead of not starting

Seen, forced in a test: with "known": {"generation": "x"} in the configuration the limiter ended with "ROUTER_CONFIG: ... invalid type: string" and never listened.

Lines at fault: main.rs, Config.known, read with the rest of the file, so that any fault of it is one of the whole.

Now it is read apart, a fault is named in one line of the log (ROUTER_CONFIG, the path, known), and the watch asks for the whole list, since its version is not known either.

--- a/src/bin/liftrouter/main.rs
+++ b/src/bin/liftrouter/main.rs
@@ -19,6 +19,7 @@
 use liftrouter::Settings;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use serde_json::Value;
 use servers::Servers;
 use std::fmt::Display;
 use std::io::Write;
@@ -58,7 +59,7 @@
     seed: String,
     #[serde(default)]
     limits: Limits,
-    known: Option<Update>,
+    known: Option<Value>,
     settings: Option<Settings>,
 }
 
@@ -80,6 +81,7 @@
     listen: SocketAddr,
     discovery: SocketAddr,
     settings: Settings,
+    known: Option<Update>,
     config: Config,
 }
 
@@ -122,7 +124,22 @@
             return Err(format!("ROUTER_CONFIG: {path}: settings: no {key}"));
         }
     }
-    Ok(Setup { path, listen, discovery, settings, config })
+    Ok(Setup {
+        known: config.known.take().and_then(|known| read_known(&path, known)),
+        path,
+        listen,
+        discovery,
+        settings,
+        config,
+    })
+}
+
+/// The list that this limiter held last. It only bridges the time until discovery is heard: one that cannot be
+/// read keeps no limiter from starting.
+fn read_known(path: &str, known: Value) -> Option<Update> {
+    let read = serde_json::from_value(known);
+    read.map_err(|e| log("liftrouter", format_args!("ROUTER_CONFIG: {path}: known: {e}; starting without")))
+        .ok()
 }
 
 fn run(setup: Setup) -> Result<(), String> {
@@ -160,7 +177,7 @@
     }
 }
 
-async fn serve(Setup { path, listen, discovery, settings, config }: Setup) -> Result<(), String> {
+async fn serve(Setup { path, listen, discovery, settings, known, config }: Setup) -> Result<(), String> {
     let handle = |kind, name: &str| signal(kind).map_err(|e| format!("cannot handle {name}: {e}"));
     // Both first: a signal that finds no handler ends the program.
     let mut terminated = handle(SignalKind::terminate(), "SIGTERM")?;
@@ -187,8 +204,8 @@
         let servers = host.servers().clone();
         async move { servers.sweep().await }
     });
-    let after = config.known.as_ref().map(|known| known.generation);
-    if let Some(mut known) = config.known {
+    let after = known.as_ref().map(|known| known.generation);
+    if let Some(mut known) = known {
         known.reset = true;
         host.servers_listed(&known);
     }
