Check again at the write whether an attempt is still wanted and still permitted

Seen, each forced in a test over loopback sockets with a server whose connections come up late: - A client left while its attempt waited for its connection, where the settings allow no cancels: the module has no action for it then, and the request was sent on when the connection came up. The test saw "GET /quote/... HTTP/1.1" of a client that had gone.

Lines at fault: servers.rs, send, which after connecting looked at the list alone; logic.rs, may_repeat, whose answer held for the moment of the action only.

Now the action names the latest time for the write, the connection is waited for no longer than that, and just before the write the host is asked whether the request still waits for its answer. What is not sent then ends as moot: it never ran and says nothing of the server. On the simulator's wire an attempt goes out at once, so nothing changes there.

Ruled out, by reading: a retry or a timer after the client left (host.send answers it as moot); a drain between choice and write (servers_listed ends what is not written; the list is looked at again); a kept connection, which is written in the same poll in which it is chosen.

--- a/src/bin/liftrouter-sim/wire.rs
+++ b/src/bin/liftrouter-sim/wire.rs
@@ -278,7 +278,10 @@
 /// Writes one action as a line, for an instance in its nth life.
 pub fn write(out: &mut impl Write, (instance, life): (u32, u32), action: &Action) -> io::Result<()> {
     match action {
-        Action::Send { id, server, timeout } => writeln!(out, "ASSIGN {instance} {id} {timeout} {server}"),
+        // It is sent at once here, so none comes too late.
+        Action::Send { id, server, timeout, latest: _ } => {
+            writeln!(out, "ASSIGN {instance} {id} {timeout} {server}")
+        }
         Action::Refuse { id, retry_after } => writeln!(out, "SAY_NO {instance} {id} {retry_after}"),
         Action::Fail { id } => writeln!(out, "END_FAILED {instance} {id}"),
         Action::Cancel { id, attempt } => writeln!(out, "STOP_ATTEMPT {instance} {id} {attempt}"),
--- a/src/bin/liftrouter/host.rs
+++ b/src/bin/liftrouter/host.rs
@@ -6,7 +6,7 @@
 
 use crate::counter::Counter;
 use crate::discovery::{Discovery, Update};
-use crate::servers::{Attempt, Ended, Forward, Place, Servers};
+use crate::servers::{Attempt, Ended, Forward, Limits, Place, Servers};
 use bytes::Bytes;
 use hyper::Response;
 use liftrouter::{
@@ -163,6 +163,11 @@
         (id, answer)
     }
 
+    /// Whether a request is still to be answered.
+    pub fn awaited(&self, id: RequestId) -> bool {
+        self.requests.borrow().get(&id).is_some_and(|open| open.reply.is_some())
+    }
+
     /// The client closed its connection before it was answered.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         let waiting = self.requests.borrow_mut().get_mut(&id).is_some_and(|open| open.reply.take().is_some());
@@ -299,7 +304,9 @@
 
     fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Send { id, server, timeout, latest } => {
+                self.send(id, server, timeout, latest.map(|at| self.clock.instant(at)));
+            }
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Refused(retry_after)),
             Action::Fail { id } => self.answer(id, Answer::Failed),
             Action::Cancel { id, attempt } => {
@@ -328,7 +335,7 @@
         }
     }
 
-    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, timeout: f64) {
+    fn send(self: &Rc<Self>, id: RequestId, server: ServerId, timeout: f64, latest: Option<Instant>) {
         let moot = {
             let mut requests = self.requests.borrow_mut();
             let Some(open) = requests.get_mut(&id) else { return };
@@ -351,7 +358,7 @@
                     (id, n),
                     server.clone(),
                     (open.forward.clone(), attempt.clone()),
-                    limit.min(open.forward.due),
+                    Limits { give_up: limit.min(open.forward.due), latest },
                 ));
                 open.running = Some((n, Running { server, began: now, attempt, task }));
                 None
--- a/src/bin/liftrouter/servers.rs
+++ b/src/bin/liftrouter/servers.rs
@@ -72,6 +72,15 @@
     idle: Vec<Link>,
 }
 
+/// The times that bind an attempt.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    /// It ends then.
+    pub give_up: Instant,
+    /// It is not sent after this time.
+    pub latest: Option<Instant>,
+}
+
 /// A handle on a running attempt: what it takes to end it at once.
 #[derive(Default)]
 pub struct Attempt {
@@ -178,8 +187,15 @@
         oldest.map(|server| server.idle.remove(0)).is_some()
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Link> {
-        timeout(self.connect, Link::connect(address, &self.open)).await.ok()?.ok()
+    /// Connects in the time that the settings give for it, and by `latest`: where that comes first, it is no
+    /// failure of the server.
+    async fn connect(&self, address: SocketAddr, latest: Option<Instant>) -> Result<Link, Outcome> {
+        let until = Instant::now() + self.connect;
+        let sooner = latest.filter(|latest| *latest < until);
+        match timeout_at(sooner.unwrap_or(until), Link::connect(address, &self.open)).await {
+            Ok(link) => link.map_err(|_| Outcome::ConnectFailed),
+            Err(_) => Err(if sooner.is_some() { Outcome::Moot } else { Outcome::ConnectFailed }),
+        }
     }
 
     /// Closes what was idle too long or has been closed by its server.
@@ -199,10 +215,10 @@
         (id, n): (RequestId, u32),
         server: ServerId,
         (forward, attempt): (Rc<Forward>, Rc<Attempt>),
-        give_up: Instant,
+        limits: Limits,
     ) {
-        let run = self.send(&server, &forward, &attempt, give_up);
-        let (ended, kept) = match timeout_at(give_up, run).await {
+        let run = self.send(&server, &forward, &attempt, limits, || host.awaited(id));
+        let (ended, kept) = match timeout_at(limits.give_up, run).await {
             Ok(ended) => ended,
             // Not written whole by then, it never ran.
             Err(_) if !attempt.sent() => (Ended::of(Outcome::ConnectFailed), None),
@@ -223,7 +239,8 @@
         id: &ServerId,
         forward: &Forward,
         attempt: &Attempt,
-        give_up: Instant,
+        Limits { give_up, latest }: Limits,
+        awaited: impl Fn() -> bool,
     ) -> (Ended, Option<(SocketAddr, Link)>) {
         let failed = |outcome| (Ended::of(outcome), None);
         loop {
@@ -231,15 +248,19 @@
             let (mut link, kept) = match self.reuse(id) {
                 Some(link) => (link, true),
                 None if !self.room() => return failed(Outcome::Moot),
-                None => match self.connect(address).await {
-                    Some(link) => (link, false),
-                    None => return failed(Outcome::ConnectFailed),
+                None => match self.connect(address, latest).await {
+                    Ok(link) => (link, false),
+                    Err(outcome) => return failed(outcome),
                 },
             };
-            // Connecting took a while: a server that was told to drain meanwhile gets nothing new.
+            // Connecting took a while: a server that was told to drain meanwhile gets nothing new, and nothing
+            // is sent for a client that left or was answered, nor past the time for it.
             if self.address(id) != Some(address) {
                 return failed(Outcome::ConnectFailed);
             }
+            if !awaited() || latest.is_some_and(|latest| Instant::now() >= latest) {
+                return failed(Outcome::Moot);
+            }
             *attempt.socket.borrow_mut() = Some(link.socket().clone());
             let result = link.exchange(forward.request(address, give_up)).await;
             let unsent = link.socket().written() == Written::Nothing;
@@ -264,7 +285,7 @@
             let mut link = match self.reuse(&id) {
                 Some(link) => link,
                 None if !self.room() => return None,
-                None => self.connect(address).await?,
+                None => self.connect(address, None).await.ok()?,
             };
             self.address(&id).filter(|now| *now == address)?;
             let request = Request::get("/metrics/load").header(HOST, address.to_string());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -302,6 +302,8 @@
         server: ServerId,
         /// Give up after this time; 0: when the client does.
         timeout: f64,
+        /// Not to be sent after this time, however long a connection takes to come up; `None`: at any time.
+        latest: Option<f64>,
     },
     /// Final answer: declined, safe to try again.
     Refuse {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -707,6 +707,8 @@
 
     fn send(&mut self, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
         let now = self.now;
+        // A connection may take its time to come up: the window has to hold then too.
+        let latest = self.requests.get(&id).and_then(|r| self.window_ends(r));
         let (Some(r), Some(s)) = (self.requests.get_mut(&id), self.servers.get_mut(&server)) else { return };
         s.out += 1;
         if s.warmth(&self.set, now) < 1.0 {
@@ -731,7 +733,7 @@
         if now + wait < r.due {
             out.push(Action::SetTimer { at: now + wait, token: id * 4 + T_PATIENCE });
         }
-        out.push(Action::Send { id, server, timeout: 0.0 });
+        out.push(Action::Send { id, server, timeout: 0.0, latest });
     }
 
     /// Whether the rules let a request go out once more.
@@ -744,13 +746,17 @@
         match class.effect {
             Effect::ReadLike => true,
             Effect::NonIdempotent => !r.may_have_run(),
-            Effect::Keyed => {
-                let ends = |a: &Attempt| a.sent + class.window * KEYED_SHARE - self.set.tick * 2.0;
-                r.attempts.iter().find(|a| a.may_have_run).map_or(true, |a| self.now < ends(a))
-            }
+            Effect::Keyed => self.window_ends(r).map_or(true, |ends| self.now < ends),
         }
     }
 
+    /// Until when a keyed request that may have run may be sent again.
+    fn window_ends(&self, r: &Open) -> Option<f64> {
+        let class = &self.set.classes[r.class];
+        let first = r.attempts.iter().find(|a| a.may_have_run && class.effect == Effect::Keyed);
+        first.map(|a| a.sent + class.window * KEYED_SHARE - self.set.tick * 2.0)
+    }
+
     /// Sends again within the retry budget; true if it did.
     fn send_again(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
         let draw = self.rng.u64(..);
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -46,42 +46,63 @@
 
 #[test]
 fn a_client_that_leaves_while_its_attempt_waits_for_a_connection_is_not_sent_on() {
+    // Whether or not the settings let the module call attempts off: this one has not been sent yet.
+    for cancel in [true, false] {
+        for behind in ["", "GET /more"] {
+            leaves_while_connecting(cancel, behind);
+        }
+    }
+}
+
+fn leaves_while_connecting(cancel: bool, behind: &str) {
     let (listener, stuck, filled) = never_up();
     let discovery = discovery(vec![instance("s-0", stuck, "in_service")]);
     let mut settings = settings();
     settings["limits"]["connect-timeout-s"] = json!(60.0);
+    settings["limits"]["cancel"] = json!(cancel);
     settings["classes"][0]["deadline-s"] = json!(120.0);
     let limiter = Limiter::start(settings, &discovery, counter().address);
-    for behind in ["", "GET /more"] {
-        let mut client = limiter.client();
-        client.send(&(quote("roomy", 120_000) + behind));
-        client.close();
-    }
     // What was sent before has been read once a later request is answered.
-    assert_eq!(limiter.client().ask("GET /up HTTP/1.1\r\n\r\n").status(), 200);
-    // Now the connections come up. Those that the limiter still has would carry the requests at once.
+    let all_read = || assert_eq!(limiter.client().ask("GET /up HTTP/1.1\r\n\r\n").status(), 200);
+    let mut leaving = limiter.client();
+    leaving.send(&(quote("roomy", 120_000) + behind));
+    all_read();
+    leaving.close();
+    all_read();
+    // Now the connections come up. Those that the limiter still has would carry the requests at once: where it
+    // may not call attempts off, one comes up for nothing.
+    let others: Vec<_> = filled.iter().filter_map(|f| f.local_addr().ok()).collect();
     drop(filled);
-    let mut accepted: Vec<TcpStream> = Vec::new();
     let mut client = limiter.client();
     let last = quote("roomy", 120_000);
     client.send(&last);
     let id = last.split("X-Correlation-Id: ").nth(1).and_then(|rest| rest.get(..16)).expect("an id");
     listener.set_nonblocking(true).expect("set");
-    let (mut came, mut buffer) = (String::new(), [0; 4096]);
-    wait_until("a request comes", || {
-        while let Ok((socket, _)) = listener.accept() {
-            let stream: TcpStream = socket.into();
-            stream.set_nonblocking(true).expect("set");
-            accepted.push(stream);
+    let mut open: Vec<TcpStream> = Vec::new();
+    let (mut came, mut ended, mut buffer) = (String::new(), 0, [0; 4096]);
+    wait_until("its request comes, and each other connection has ended or brought one", || {
+        while let Ok((socket, peer)) = listener.accept() {
+            if peer.as_socket().is_some_and(|peer| !others.contains(&peer)) {
+                let stream: TcpStream = socket.into();
+                stream.set_nonblocking(true).expect("set");
+                open.push(stream);
+            }
         }
-        for stream in &mut accepted {
-            if let Ok(n) = stream.read(&mut buffer) {
+        open.retain_mut(|stream| match stream.read(&mut buffer) {
+            Ok(0) => {
+                ended += 1;
+                false
+            }
+            Ok(n) => {
                 came += &String::from_utf8_lossy(&buffer[..n]);
+                true
             }
-        }
-        came.contains(id)
+            Err(_) => true,
+        });
+        let carried = came.matches("GET /quote").count();
+        came.contains(id) && (cancel || ended + carried == 2)
     });
-    assert_eq!(came.matches("GET /quote").count(), 1, "{came}");
+    assert_eq!(came.matches("GET /quote").count(), 1, "cancel {cancel}: {came}");
 }
 
 #[test]
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -154,6 +154,37 @@
     }
 }
 
+#[test]
+fn a_repeat_that_still_waits_for_its_connection_when_its_window_ends_is_not_sent() {
+    let hung = Fake::new(|_| Reply::Silence);
+    let (listener, stuck, filled) = never_up();
+    let discovery = discovery(vec![instance("s-0", hung.address, "in_service")]);
+    discovery.beat();
+    let mut settings = settings();
+    settings["limits"]["connect-timeout-s"] = json!(60.0);
+    settings["classes"][1]["deadline-s"] = json!(120.0);
+    settings["classes"][1]["window-s"] = json!(4.0);
+    let limiter = Limiter::start(settings, &discovery, counter().address);
+    let mut client = limiter.client();
+    let request = post("bind", "x").replace("9000m", "120000m");
+    client.send(&request);
+    wait_until("the request is out", || hung.count() == 1);
+    // It may have run when its connection breaks, and the one server left has yet to take a connection. That
+    // the list is known shows at a third server, which drains too: what is kept to it is closed.
+    let third = Fake::new(|_| ok("served"));
+    discovery.push(&chunk(&update(11, false, &[instance("s-2", third.address, "in_service")])));
+    wait_until("the third is known", || limiter.client().ask(&quote("roomy", 200)).status() == 200);
+    let drains = |n, fake: &Fake| instance(&format!("s-{n}"), fake.address, "terminating");
+    let change = [drains(0, &hung), drains(2, &third), instance("s-1", stuck, "in_service")];
+    discovery.push(&chunk(&update(12, false, &change)));
+    wait_until("the change is known", || third.ended() == third.accepted());
+    hung.cut();
+    // All servers drop repeats of this class, so that another try is harmless; past the window, too.
+    let answer = client.answer().expect("an answer while the connection is still to come up");
+    assert_eq!(answer.status(), 429, "{}", answer.first);
+    drop((listener, filled));
+}
+
 #[test]
 fn an_answer_that_never_comes_fails_the_request_before_its_deadline() {
     let server = Fake::new(|_| Reply::Silence);
