Refuse at once a request whose client has no time left, instead of sending it on

Seen, forced in a test: a request with X-Time-Left: 0m, 1m or 10m was written to a server in the same poll and then answered 502 at its deadline, which lay in the past. The same holds for what is read after SIGTERM with the time for answers nearly over (clients.rs, take: due.min(until)): sent on, it runs for nothing, and a class that must not run twice cannot be asked for again.

Line at fault: logic.rs, admit, which looked at the quota and the servers only.

Now the module refuses it before it takes anything from the quota; it never ran, so trying again is harmless. Test: the answer is 429 and the server sees nothing; it was seen to fail without the mend (502).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -673,6 +673,10 @@
         let class = self.set.classes.iter().position(|c| *c.name == *r.class);
         let plan = self.set.plans.iter().position(|p| *p.name == *r.plan);
         let (Some(class), Some(plan)) = (class, plan) else { return self.refuse(r.id, 0.0, out) };
+        if r.due - 2.0 * self.set.tick <= self.now {
+            // Its client waits no longer: sent on, it would run for nothing.
+            return self.refuse(r.id, COME_BACK * self.aim(), out);
+        }
         let (units, key) = (r.units.max(0.0), &r.customer);
         self.retry_saved = (self.retry_saved + RETRY.0).min(RETRY.1);
         self.customer(key, plan, r.width, units);
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -131,6 +131,17 @@
     drop(busy);
 }
 
+#[test]
+fn a_request_without_time_left_is_refused_and_not_sent_on() {
+    let server = Fake::new(|_| ok("served"));
+    let limiter = Limiter::over(&[&server]);
+    for left_ms in [0, 1, 10] {
+        assert_eq!(limiter.client().ask(&quote("roomy", left_ms)).status(), 429, "{left_ms} ms");
+    }
+    assert_eq!(server.count(), 0);
+    assert_eq!(limiter.client().ask(&quote("roomy", 9000)).status(), 200);
+}
+
 #[test]
 fn what_is_malformed_reaches_no_server() {
     let server = Fake::new(|_| ok("served"));
