Force requests across the end of resting connections, and informational answers without end

Crossings looked for and ruled out, each forced over loopback sockets; no fault was found: - 32 resting clients write a request each, 0.2 ms apart, around SIGTERM and around the moment in which the limiter closes a connection that rested too long. Each was answered, or no server saw its id. - A server that sends 103 every 10 ms and no answer: the request is failed at its deadline and the limiter goes on.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -84,3 +84,17 @@
         }
     }
 }
+
+#[test]
+fn informational_answers_without_end_hold_a_request_no_longer_than_its_client_waits() {
+    let server = Fake::new(|_| {
+        let line = || (Duration::from_millis(10), "HTTP/1.1 103 Early Hints\r\n\r\n".to_string());
+        Reply::Pieces((0..400).map(|_| line()).collect())
+    });
+    let limiter = Limiter::over(&[&server]);
+    let began = Instant::now();
+    let answer = limiter.client().ask(&post("once", "x").replace("9000m", "1000m"));
+    assert_eq!(answer.status(), 502, "it may have run");
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+    assert_eq!(limiter.client().ask("GET /up HTTP/1.1\r\n\r\n").status(), 200);
+}
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -141,3 +141,46 @@
     assert!(began.elapsed() < Duration::from_secs(8), "{:?}", began.elapsed());
     assert_eq!(limiter.wait().code(), Some(0));
 }
+
+/// Has resting clients send a request each, some tenths of a millisecond apart, from so long after their last
+/// answer on and while `end` runs: around the moment in which their connections are closed. Each is answered, or
+/// never sent on.
+fn cross(server: &Fake, limiter: &Limiter, rest: Duration, end: impl FnOnce()) {
+    let clients = (0..32).map(|_| {
+        let mut client = limiter.client();
+        assert_eq!(client.ask(&quote("roomy", 9000)).status(), 200);
+        (client, Instant::now() + rest)
+    });
+    let clients: Vec<(Client, Instant)> = clients.collect();
+    let soon = Instant::now() + Duration::from_millis(2);
+    let asked = clients.into_iter().enumerate().map(|(n, (mut client, rested))| {
+        std::thread::spawn(move || {
+            let at = rested.max(soon) + Duration::from_micros(200 * n as u64);
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            let request = quote("roomy", 9000);
+            client.send_quietly(request.as_bytes());
+            (request, client.answer())
+        })
+    });
+    let asked: Vec<_> = asked.collect();
+    end();
+    let asked: Vec<_> = asked.into_iter().map(|t| t.join().expect("joined")).collect();
+    for (request, _) in asked.iter().filter(|(_, answer)| answer.is_none()) {
+        let known = |m: &Message| m.header("x-correlation-id").is_some_and(|id| request.contains(id));
+        assert!(!server.seen().iter().any(known), "it was sent on and not answered: {request}");
+    }
+}
+
+#[test]
+fn what_crosses_the_end_of_a_resting_connection_is_answered_or_never_sent_on() {
+    let server = Fake::new(|_| ok("served"));
+    for _ in 0..4 {
+        let mut limiter = Limiter::over(&[&server]);
+        cross(&server, &limiter, Duration::ZERO, || limiter.terminate());
+        assert_eq!(limiter.wait().code(), Some(0));
+    }
+    // One that goes on closes what has rested too long.
+    let limiter = Limiter::over(&[&server]);
+    cross(&server, &limiter, Duration::from_millis(2_498), || ());
+    assert_eq!(limiter.client().ask(&quote("roomy", 9000)).status(), 200);
+}
