--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -56,6 +56,27 @@
     }
 }
 
+#[test]
+fn a_connection_rests_before_it_is_used_again() {
+    // Longer than the latest second answer that was ever seen to come. A slow machine only shows it less often.
+    for _ in 0..5 {
+        let server = Fake::new(|_| ok("served"));
+        let limiter = Limiter::over(&[&server]);
+        let mut client = limiter.client();
+        let began = Instant::now();
+        assert_eq!(client.ask(&post("once", "x")).status(), 200);
+        std::thread::sleep(Duration::from_millis(7));
+        assert_eq!(client.ask(&post("once", "x")).status(), 200);
+        if began.elapsed() < Duration::from_millis(18) {
+            assert_eq!(server.accepted(), 2, "the first is still resting");
+        }
+        std::thread::sleep(Duration::from_millis(50));
+        let before = server.accepted();
+        assert_eq!(client.ask(&post("once", "x")).status(), 200);
+        assert_eq!(server.accepted(), before, "rested, it is used again");
+    }
+}
+
 #[test]
 fn an_informational_answer_ahead_is_skipped_however_long_the_answer_takes() {
     let server = Fake::new(|_| {
