--- a/src/bin/liftrouter/link.rs
+++ b/src/bin/liftrouter/link.rs
@@ -36,7 +36,7 @@
 /// A link rests for this time before it is used again: what comes late behind an answer and belongs to none
 /// must not be read as the answer to the next request. That may be some milliseconds; of 209 second answers
 /// the latest came 5.5 ms after the first.
-const REST: Duration = Duration::from_millis(20);
+const REST: Duration = Duration::from_millis(10);
 /// How long a connection may take to settle after an answer before it is closed instead of kept.
 const SETTLE: Duration = Duration::from_millis(100);
 
