--- a/crates/quillpulley/src/control/host.rs
+++ b/crates/quillpulley/src/control/host.rs
@@ -1,6 +1,6 @@
 //! The main thread of a core process: it owns all state, and all that happens comes to it as events.
 //!
-//! After each event [`Host::settle`] brings everything in line with the new state: the office of the primary,
+//! After each event [`Host::settle`] brings everything in line with the new state: the leadership of the primary,
 //! the place in the relay tree, what is published, orders, answers, the directory and the links.
 
 use super::api::{ApiCall, Call, Reply};
@@ -8,9 +8,9 @@
 use super::directory_view::DirectoryView;
 use super::disk::{Disk, Stored};
 use super::fetcher::{Fetched, Fetcher};
-use super::mesh::Mesh;
-use super::office::Office;
+use super::leadership::Leadership;
 use super::orders::{Answer, Orders};
+use super::peer_table::PeerTable;
 use super::platform::Reading;
 use super::reader::{ListReader, Outcome, ReaderOptions};
 use super::relay::Relay;
@@ -98,7 +98,7 @@
     fetcher: Option<Fetcher>,
     directory: DirectoryBoard,
     directory_view: DirectoryView,
-    pub(super) mesh: Mesh<LinkId>,
+    pub(super) peer_table: PeerTable<LinkId>,
     pub(super) told_cores: Vec<u32>,
     pub(super) agents: BTreeSet<LinkId>,
     pub(super) feed: FeedNode<Child>,
@@ -106,9 +106,9 @@
     pub(super) orders: Orders<Reply>,
     pub(super) reader: ListReader,
     /// While this process is the primary and holds the lease.
-    pub(super) office: Option<Office>,
+    pub(super) leadership: Option<Leadership>,
     pub(super) dirty: Dirty,
-    lonely_since: Duration,
+    isolated_since: Duration,
     /// How many entries of the platform's list could not be read last time.
     unreadable_entries: usize,
 }
@@ -119,7 +119,7 @@
         let now = parts.clock.now();
         let rate_per_s = settings.cloud.as_ref().map_or(0.0, |cloud| cloud.rate_per_s);
         let mut host = Host {
-            mesh: Mesh::new(settings.ip),
+            peer_table: PeerTable::new(settings.ip),
             feed: FeedNode::new(quillpulley_feed::Options::core(&settings.node_name)),
             reader: ListReader::new(ReaderOptions { interval: READING_INTERVAL, rate_per_s }),
             settings,
@@ -135,9 +135,9 @@
             agents: BTreeSet::new(),
             relay: Relay::default(),
             orders: Orders::default(),
-            office: None,
+            leadership: None,
             dirty: Dirty::default(),
-            lonely_since: now,
+            isolated_since: now,
             unreadable_entries: 0,
         };
         host.learn_cores(now);
@@ -154,8 +154,8 @@
     /// The operator calls.
     pub fn called(&mut self, call: ApiCall) {
         let now = self.clock.now();
-        self.update_office(now);
-        match (&self.office, call.call) {
+        self.update_leadership(now);
+        match (&self.leadership, call.call) {
             (None, _) => call.reply.send(self.elsewhere(now)),
             (Some(_), Call::Order(order)) => self.orders.push(now, order, call.reply),
             (Some(_), Call::ReadConfiguration) => call.reply.send(self.configuration()),
@@ -166,9 +166,9 @@
     /// A page of the platform's list has come, or has not.
     pub fn fetched(&mut self, fetched: Fetched) {
         let now = self.clock.now();
-        self.update_office(now);
-        let published = self.office.as_ref().map_or(0, |office| office.publisher.server_count());
-        match self.reader.fetched(now, self.office.is_some(), published, fetched) {
+        self.update_leadership(now);
+        let published = self.leadership.as_ref().map_or(0, |leadership| leadership.publisher.server_count());
+        match self.reader.fetched(now, self.leadership.is_some(), published, fetched) {
             Outcome::Nothing => {}
             Outcome::Fetch(fetch) => self.fetch(Some(fetch)),
             Outcome::Complete(reading) => {
@@ -195,17 +195,17 @@
     pub fn tick(&mut self) {
         let now = self.clock.now();
         self.replicate(Event::Tick);
-        self.update_office(now);
+        self.update_leadership(now);
         self.feed_event(quillpulley_feed::Event::Tick);
         self.orders.expire(now);
-        self.tick_office(now);
+        self.tick_leadership(now);
         if self.fetcher.is_some() {
-            let due = self.reader.tick(now, self.office.is_some());
+            let due = self.reader.tick(now, self.leadership.is_some());
             self.fetch(due);
         }
         self.dirty.directory |= self.directory_view.is_waiting();
         self.forget_cores(now);
-        self.read_seeds_if_lonely(now);
+        self.read_seeds_if_isolated(now);
         self.settle();
     }
 
@@ -225,12 +225,12 @@
         self.settle();
     }
 
-    fn read_seeds_if_lonely(&mut self, now: Duration) {
-        let lonely = self.replica.view().is_none() && self.mesh.connected().next().is_none();
-        if !lonely {
-            self.lonely_since = now;
-        } else if now >= self.lonely_since + SEEDS_AGAIN_AFTER {
-            self.lonely_since = now;
+    fn read_seeds_if_isolated(&mut self, now: Duration) {
+        let isolated = self.replica.view().is_none() && self.peer_table.connected().next().is_none();
+        if !isolated {
+            self.isolated_since = now;
+        } else if now >= self.isolated_since + SEEDS_AGAIN_AFTER {
+            self.isolated_since = now;
             self.read_seeds();
         }
     }
@@ -268,7 +268,7 @@
     fn perform(&mut self, action: Action) {
         match action {
             Action::Send { to, body } => {
-                if let Some(link) = self.mesh.link_to(to) {
+                if let Some(link) = self.peer_table.link_to(to) {
                     self.peers.send(link, &body);
                 }
             }
@@ -276,7 +276,7 @@
             Action::Applied { .. } => self.dirty.state = true,
             Action::Committed { order } => self.committed(order),
             Action::Rejected { order, .. } => self.orders.failed(order),
-            // The office follows the role and the lease at every moment; the replica itself logs its roles.
+            // The leadership follows the role and the lease at every moment; the replica itself logs its roles.
             Action::RoleChanged(_) => {}
         }
     }
@@ -289,7 +289,7 @@
     /// Brings everything in line with what has happened.
     pub(super) fn settle(&mut self) {
         let now = self.clock.now();
-        self.update_office(now);
+        self.update_leadership(now);
         self.update_parent(now);
         self.publish_changes(now);
         self.propose_orders();
@@ -323,7 +323,7 @@
     pub(super) fn known_cores(&self) -> Vec<Core> {
         let own =
             Core { ip: self.me.ip, zone: self.settings.zone.clone(), region: self.settings.region.clone() };
-        let others = self.mesh.known().map(|hello| Core {
+        let others = self.peer_table.known().map(|hello| Core {
             ip: hello.node.ip,
             zone: hello.zone.clone(),
             region: hello.region.clone(),
--- a/crates/quillpulley/src/control/office.rs
+++ b/crates/quillpulley/src/control/leadership.rs
@@ -10,36 +10,38 @@
 /// How often a stamp is published at least.
 const STAMP_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The office of the primary.
-pub(super) struct Office {
+/// The leadership of the primary.
+pub(super) struct Leadership {
     pub publisher: Publisher,
     epoch: u64,
     stamped_at: Duration,
 }
 
 impl Host {
-    /// Takes or leaves the office as the replica and its lease say.
-    pub(super) fn update_office(&mut self, now: Duration) {
+    /// Takes or gives up the leadership as the replica and its lease say.
+    pub(super) fn update_leadership(&mut self, now: Duration) {
         let epoch = match self.replica.role(now) {
             Role::Primary { epoch, lease: true } => Some(epoch),
             _ => None,
         };
-        match (&self.office, epoch) {
-            (None, Some(epoch)) => self.enter_office(now, epoch),
-            (Some(_), None) => self.leave_office(now),
-            (Some(office), Some(epoch)) if office.epoch != epoch => self.enter_office(now, epoch),
+        match (&self.leadership, epoch) {
+            (None, Some(epoch)) => self.assume_leadership(now, epoch),
+            (Some(_), None) => self.step_down(now),
+            (Some(leadership), Some(epoch)) if leadership.epoch != epoch => {
+                self.assume_leadership(now, epoch)
+            }
             _ => {}
         }
     }
 
     /// The first stamp of an epoch is published together with all that the root before has left out.
-    fn enter_office(&mut self, now: Duration, epoch: u64) {
-        log::info!("in office as the primary of epoch {epoch}");
-        let publisher = match self.office.take() {
-            Some(office) => office.publisher,
+    fn assume_leadership(&mut self, now: Duration, epoch: u64) {
+        log::info!("is the primary of epoch {epoch}");
+        let publisher = match self.leadership.take() {
+            Some(leadership) => leadership.publisher,
             None => Publisher::take_over(now, self.feed.store()),
         };
-        self.office = Some(Office { publisher, epoch, stamped_at: now });
+        self.leadership = Some(Leadership { publisher, epoch, stamped_at: now });
         self.reader.reset(now);
         self.relay.become_root();
         self.feed_event(Event::BecomeRoot { epoch });
@@ -50,9 +52,9 @@
         self.feed_event(Event::Publish(changes));
     }
 
-    fn leave_office(&mut self, now: Duration) {
-        log::info!("out of office");
-        self.office = None;
+    fn step_down(&mut self, now: Duration) {
+        log::info!("is no longer the primary");
+        self.leadership = None;
         self.feed_event(Event::LeaveRoot);
         for node in self.relay.leave_root() {
             self.feed_event(Event::ChildDown(super::host::Child::Core(node)));
@@ -61,9 +63,9 @@
         self.orders.abandon(&answer);
     }
 
-    /// Publishes what has changed, if this process is in office.
+    /// Publishes what has changed, if this process leads.
     pub(super) fn publish_changes(&mut self, now: Duration) {
-        if self.office.is_some() {
+        if self.leadership.is_some() {
             let changes = self.collect_changes(now);
             self.publish(now, changes);
             self.adopt_children();
@@ -80,27 +82,28 @@
         if let Some(cores) = cores {
             changes.extend(core_changes(store, cores));
         }
-        if let Some(office) = self.office.as_mut().filter(|_| std::mem::take(&mut self.dirty.reports)) {
-            changes.extend(office.publisher.report(now, self.feed.subtree()));
+        if let Some(leadership) = self.leadership.as_mut().filter(|_| std::mem::take(&mut self.dirty.reports))
+        {
+            changes.extend(leadership.publisher.report(now, self.feed.subtree()));
         }
         changes
     }
 
     /// Publishes a complete reading of the platform's list.
     pub(super) fn publish_list(&mut self, now: Duration, reading: Reading) {
-        let Some(office) = &mut self.office else { return };
-        let changes = office.publisher.read_list(now, reading);
+        let Some(leadership) = &mut self.leadership else { return };
+        let changes = leadership.publisher.read_list(now, reading);
         self.publish(now, changes);
     }
 
     /// Publishes what time alone has changed, or else at least a stamp.
-    pub(super) fn tick_office(&mut self, now: Duration) {
-        let Some(office) = &mut self.office else { return };
-        let changes = office.publisher.tick(now);
+    pub(super) fn tick_leadership(&mut self, now: Duration) {
+        let Some(leadership) = &mut self.leadership else { return };
+        let changes = leadership.publisher.tick(now);
         self.publish(now, changes);
-        let is_due = |office: &&mut Office| now >= office.stamped_at + STAMP_INTERVAL;
-        if let Some(office) = self.office.as_mut().filter(is_due) {
-            office.stamped_at = now;
+        let is_due = |leadership: &&mut Leadership| now >= leadership.stamped_at + STAMP_INTERVAL;
+        if let Some(leadership) = self.leadership.as_mut().filter(is_due) {
+            leadership.stamped_at = now;
             self.feed_event(Event::Stamp);
         }
     }
@@ -109,8 +112,8 @@
         if changes.is_empty() {
             return;
         }
-        if let Some(office) = &mut self.office {
-            office.stamped_at = now;
+        if let Some(leadership) = &mut self.leadership {
+            leadership.stamped_at = now;
             self.feed_event(Event::Publish(changes));
         }
     }
--- a/crates/quillpulley/src/control/links.rs
+++ b/crates/quillpulley/src/control/links.rs
@@ -1,7 +1,7 @@
 //! The links of a core process: what comes on them, and what the relay tree sends.
 
 use super::host::{Child, Host};
-use super::mesh::MeshChange;
+use super::peer_table::PeerChange;
 use super::relay::{ChildFrame, ParentChange};
 use crate::peer::{LinkId, PeerEvent};
 use quillpulley_configuration::published::PublishedKey;
@@ -27,7 +27,7 @@
     fn accepted(&mut self, now: Duration, link: LinkId, hello: Hello) {
         match hello.kind {
             PeerKind::Control if hello.node.ip != self.me.ip => {
-                for given_up in self.mesh.accepted(now, link, hello.node) {
+                for given_up in self.peer_table.accepted(now, link, hello.node) {
                     self.peers.close(given_up);
                 }
             }
@@ -40,7 +40,7 @@
     }
 
     fn opened(&mut self, link: LinkId, hello: Hello) {
-        let Some(MeshChange::Connected(node)) = self.mesh.opened(link, hello) else {
+        let Some(PeerChange::Connected(node)) = self.peer_table.opened(link, hello) else {
             return self.peers.close(link);
         };
         log::debug!("connected to {node}");
@@ -53,10 +53,10 @@
         if self.agents.remove(&link) {
             self.feed_event(feed::Event::ChildDown(Child::Agent(link)));
         }
-        if let Some(node) = self.mesh.sender(link) {
+        if let Some(node) = self.peer_table.sender(link) {
             self.core_child_lost(node);
         }
-        if let Some(MeshChange::Disconnected(node)) = self.mesh.closed(now, link, fastrand::f64()) {
+        if let Some(PeerChange::Disconnected(node)) = self.peer_table.closed(now, link, fastrand::f64()) {
             log::debug!("disconnected from {node}");
             self.core_child_lost(node);
             self.tell_cores(None);
@@ -71,7 +71,7 @@
     }
 
     fn frame(&mut self, now: Duration, link: LinkId, body: Body) {
-        if let Some(node) = self.mesh.sender(link) {
+        if let Some(node) = self.peer_table.sender(link) {
             self.core_frame(now, node, body);
         } else if self.agents.contains(&link) {
             self.feed_event(feed::Event::ChildFrame(Child::Agent(link), body));
@@ -82,7 +82,7 @@
         match body {
             Body::Cores(cores) => {
                 for address in cores.addresses {
-                    self.mesh.learn(now, Ipv4Addr::from_bits(address));
+                    self.peer_table.learn(now, Ipv4Addr::from_bits(address));
                 }
             }
             Body::Subscribe(_) | Body::Report(_) => {
@@ -112,7 +112,7 @@
     fn perform_feed(&mut self, action: feed::Action<Child>) {
         match action {
             feed::Action::SendParent(body) => {
-                if let Some(link) = self.relay.parent().and_then(|parent| self.mesh.link_to(parent)) {
+                if let Some(link) = self.relay.parent().and_then(|parent| self.peer_table.link_to(parent)) {
                     self.peers.send(link, &body);
                 }
             }
@@ -137,7 +137,7 @@
 
     fn send_child(&mut self, child: Child, body: &Body) {
         let link = match child {
-            Child::Core(node) => self.mesh.link_to(node),
+            Child::Core(node) => self.peer_table.link_to(node),
             Child::Agent(link) => Some(link),
         };
         if let Some(link) = link {
@@ -158,12 +158,12 @@
 
     /// Chooses the parent in the relay tree.
     pub(super) fn update_parent(&mut self, now: Duration) {
-        if self.office.is_some() {
+        if self.leadership.is_some() {
             return;
         }
         let primary = self.replica.primary_hint(now).filter(|primary| *primary != self.me);
-        let mesh = &self.mesh;
-        let is_reachable = |node| mesh.link_to(node).is_some() && mesh.receives_from(node);
+        let peer_table = &self.peer_table;
+        let is_reachable = |node| peer_table.link_to(node).is_some() && peer_table.receives_from(node);
         match self.relay.choose_parent(now, primary, self.feed.last_moved(), is_reachable) {
             Some(ParentChange::Up) => self.feed_event(feed::Event::ParentUp),
             Some(ParentChange::Down) => self.feed_event(feed::Event::ParentDown),
@@ -173,8 +173,8 @@
 
     /// Takes in the core processes that have applied to this process, which is the root.
     pub(super) fn adopt_children(&mut self) {
-        let mesh = &self.mesh;
-        for (node, frames) in self.relay.adopt(|node| mesh.link_to(node).is_some()) {
+        let peer_table = &self.peer_table;
+        for (node, frames) in self.relay.adopt(|node| peer_table.link_to(node).is_some()) {
             self.feed_event(feed::Event::ChildUp(Child::Core(node)));
             for frame in frames {
                 self.feed_event(feed::Event::ChildFrame(Child::Core(node), frame));
@@ -185,18 +185,18 @@
     /// Takes note of all core processes that this one should know of.
     pub(super) fn learn_cores(&mut self, now: Duration) {
         for address in self.wanted_cores() {
-            self.mesh.learn(now, address);
+            self.peer_table.learn(now, address);
         }
     }
 
     /// Forgets the core processes that are gone, and takes note of those in the view.
     pub(super) fn forget_cores(&mut self, now: Duration) {
         let in_view = self.cores_in_view();
-        let known_before = self.mesh.known().count();
-        self.mesh.forget(now, |address| in_view.contains(&address));
-        self.dirty.cores |= self.mesh.known().count() != known_before;
+        let known_before = self.peer_table.known().count();
+        self.peer_table.forget(now, |address| in_view.contains(&address));
+        self.dirty.cores |= self.peer_table.known().count() != known_before;
         for address in in_view {
-            self.mesh.learn(now, address);
+            self.peer_table.learn(now, address);
         }
     }
 
@@ -214,20 +214,20 @@
 
     /// Dials the core processes that are due.
     pub(super) fn dial(&mut self, now: Duration) {
-        for address in self.mesh.due(now) {
+        for address in self.peer_table.due(now) {
             let port = self.settings.control_port();
             let link = self.peers.connect(SocketAddr::from((address, port)));
-            self.mesh.dialled(address, link);
+            self.peer_table.dialled(address, link);
         }
     }
 
     /// Tells others which core processes can be reached: one whose link has just opened, and all if that
     /// changed.
     fn tell_cores(&mut self, opened: Option<LinkId>) {
-        let addresses: Vec<u32> = self.mesh.reachable().into_iter().map(Ipv4Addr::to_bits).collect();
+        let addresses: Vec<u32> = self.peer_table.reachable().into_iter().map(Ipv4Addr::to_bits).collect();
         let changed = addresses != self.told_cores;
         let body = Body::Cores(Box::new(Cores { addresses: addresses.clone() }));
-        for (link, _) in self.mesh.connected().filter(|(link, _)| changed || Some(*link) == opened) {
+        for (link, _) in self.peer_table.connected().filter(|(link, _)| changed || Some(*link) == opened) {
             self.peers.send(link, &body);
         }
         self.told_cores = addresses;
--- a/crates/quillpulley/src/control/mesh.rs
+++ b/crates/quillpulley/src/control/peer_table.rs
@@ -39,7 +39,7 @@
 
 /// A change that others have to know.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum MeshChange {
+pub enum PeerChange {
     /// Messages can be sent to this process.
     Connected(NodeId),
     /// Nothing more can be sent to this process.
@@ -47,16 +47,16 @@
 }
 
 /// The core processes that this one knows, by address. `L` names a link.
-pub struct Mesh<L> {
+pub struct PeerTable<L> {
     me: Ipv4Addr,
     peers: BTreeMap<Ipv4Addr, Peer<L>>,
     incoming: BTreeMap<L, NodeId>,
 }
 
-impl<L: Copy + Ord> Mesh<L> {
-    /// The mesh of the process at `me`, which knows no other.
+impl<L: Copy + Ord> PeerTable<L> {
+    /// The peers of the process at `me`, which knows no other.
     pub fn new(me: Ipv4Addr) -> Self {
-        Mesh { me, peers: BTreeMap::new(), incoming: BTreeMap::new() }
+        PeerTable { me, peers: BTreeMap::new(), incoming: BTreeMap::new() }
     }
 
     /// Takes note of an address; it will be dialled at once.
@@ -73,7 +73,7 @@
         });
     }
 
-    /// The addresses to be dialled now. The host has to call [`Mesh::dialled`] for each.
+    /// The addresses to be dialled now. The host has to call [`PeerTable::dialled`] for each.
     pub fn due(&self, now: Duration) -> Vec<Ipv4Addr> {
         let due = |peer: &Peer<L>| matches!(peer.outgoing, Outgoing::Waiting(at) if at <= now);
         self.peers.iter().filter(|(_, peer)| due(peer)).map(|(address, _)| *address).collect()
@@ -87,8 +87,8 @@
         }
     }
 
-    /// A link that this process began has opened. `None` if it is no link of the mesh, or leads elsewhere.
-    pub fn opened(&mut self, link: L, hello: Hello) -> Option<MeshChange> {
+    /// A link that this process began has opened. `None` if it is no link of the peer table, or leads elsewhere.
+    pub fn opened(&mut self, link: L, hello: Hello) -> Option<PeerChange> {
         let (address, peer) = self.peer_of(link)?;
         if hello.kind != PeerKind::Control || hello.node.address() != address {
             log::warn!("{address} introduces itself as {} ({}): check the addresses", hello.node, hello.name);
@@ -99,7 +99,7 @@
         peer.hello = Some(hello);
         peer.failures = 0;
         peer.unreachable_since = None;
-        Some(MeshChange::Connected(node))
+        Some(PeerChange::Connected(node))
     }
 
     /// Another core process has opened a link. Returns the links to be closed: an older one of the same process,
@@ -135,7 +135,7 @@
     }
 
     /// A link has closed or did not come up. `jitter` between 0 and 1 spreads the next try.
-    pub fn closed(&mut self, now: Duration, link: L, jitter: f64) -> Option<MeshChange> {
+    pub fn closed(&mut self, now: Duration, link: L, jitter: f64) -> Option<PeerChange> {
         self.incoming.remove(&link);
         let (_, peer) = self.peer_of(link)?;
         let backoff = LONGEST_BACKOFF.min(FIRST_BACKOFF * 2u32.saturating_pow(peer.failures.min(8)));
@@ -144,7 +144,7 @@
         peer.failures += 1;
         peer.unreachable_since.get_or_insert(now);
         match before {
-            Outgoing::Open(_, node) => Some(MeshChange::Disconnected(node)),
+            Outgoing::Open(_, node) => Some(PeerChange::Disconnected(node)),
             Outgoing::Connecting { .. } | Outgoing::Waiting(_) => None,
         }
     }
--- a/crates/quillpulley/tests/control/processes.rs
+++ b/crates/quillpulley/tests/control/processes.rs
@@ -144,17 +144,17 @@
 }
 
 /// A cluster and a machine whose seeds lead nowhere.
-fn with_lonely_machine() -> (Cluster, usize) {
+fn with_isolated_machine() -> (Cluster, usize) {
     let mut cluster = Cluster::start(3, None);
     assert_eq!(replace(&mut cluster, 0, "5"), 200);
     let nowhere = vec![cluster.control(9)];
-    let lonely = cluster.add(false, nowhere);
-    cluster.run(lonely);
+    let isolated = cluster.add(false, nowhere);
+    cluster.run(isolated);
     cluster
-        .until("an answer", |cluster| cluster.call(lonely, &Call::get()).filter(|told| told.status == 503));
+        .until("an answer", |cluster| cluster.call(isolated, &Call::get()).filter(|told| told.status == 503));
     let seeds = vec![cluster.control(0)];
-    cluster.set_seeds(lonely, seeds);
-    (cluster, lonely)
+    cluster.set_seeds(isolated, seeds);
+    (cluster, isolated)
 }
 
 fn wait_for_redirect(cluster: &mut Cluster, index: usize) {
@@ -164,15 +164,15 @@
 
 #[test]
 fn seeds_are_read_anew_on_a_signal() {
-    let (mut cluster, lonely) = with_lonely_machine();
-    cluster.signal(lonely, "-HUP");
-    wait_for_redirect(&mut cluster, lonely);
+    let (mut cluster, isolated) = with_isolated_machine();
+    cluster.signal(isolated, "-HUP");
+    wait_for_redirect(&mut cluster, isolated);
 }
 
 #[test]
 fn a_machine_that_knows_nobody_reads_its_seeds_anew_by_itself() {
-    let (mut cluster, lonely) = with_lonely_machine();
-    wait_for_redirect(&mut cluster, lonely);
+    let (mut cluster, isolated) = with_isolated_machine();
+    wait_for_redirect(&mut cluster, isolated);
 }
 
 #[test]
--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -1,4 +1,4 @@
-//! Elections: when a node stands, and how candidates and primaries in office collect promises and the state.
+//! Elections: when a node stands, and how candidates and active primaries collect promises and the state.
 
 use log::info;
 use quillpulley_wire::{Body, FetchState, NodeId, Prepare, Promise, Resign, StateTransfer, View};
@@ -52,7 +52,7 @@
 
     /// Stands for election if no primary was heard for long enough.
     pub(crate) fn check_election(&mut self) {
-        let is_free = self.office.is_none() && self.change.is_none() && !self.stopped;
+        let is_free = self.leadership.is_none() && self.change.is_none() && !self.stopped;
         if !is_free || self.now < self.election_at || !self.disk.is_usable(self.now) {
             return;
         }
@@ -137,11 +137,11 @@
         } else {
             change.agreed.remove(&from);
         }
-        let outbid = !promise.granted && promise.promised >= promise.epoch;
+        let superseded = !promise.granted && promise.promised >= promise.epoch;
         if self.is_out_of_place() {
             self.give_up("a newer view has come up");
-        } else if outbid {
-            self.on_outbid(from);
+        } else if superseded {
+            self.on_superseded(from);
         } else if self.change.as_ref().is_some_and(ViewChange::is_agreed) {
             self.on_promised();
         } else if has_news {
@@ -151,19 +151,19 @@
     }
 
     /// Whether the newest view that came up is one in which this node has no business: it was left out, or, as a
-    /// primary in office, replaced.
+    /// active primary, replaced.
     fn is_out_of_place(&self) -> bool {
         let Some(change) = &self.change else { return false };
-        match &self.office {
-            Some(office) => {
-                change.highest.epoch > office.view.epoch && change.highest.primary != self.options.me
+        match &self.leadership {
+            Some(leadership) => {
+                change.highest.epoch > leadership.view.epoch && change.highest.primary != self.options.me
             }
             None => !self.belongs_to(&change.highest),
         }
     }
 
     /// A witness has promised an epoch that is as high to another.
-    fn on_outbid(&mut self, by: NodeId) {
+    fn on_superseded(&mut self, by: NodeId) {
         let next_epoch = self.highest_epoch + 1;
         let Some(change) = &mut self.change else { return };
         if change.phase == Phase::Trial {
@@ -173,7 +173,7 @@
             return;
         }
         change.refused.insert(by);
-        if self.office.is_none() && by < self.options.me {
+        if self.leadership.is_none() && by < self.options.me {
             // Rivals with a lower identity yield.
             self.claim_again();
         } else if change.is_lost() {
@@ -227,8 +227,8 @@
 
     /// Ends an election or reconfiguration that cannot succeed.
     pub(crate) fn give_up(&mut self, why: &'static str) {
-        if self.office.is_some() {
-            self.leave_office(why);
+        if self.leadership.is_some() {
+            self.step_down(why);
         } else {
             self.abandon_candidacy();
         }
--- a/crates/replication/src/event.rs
+++ b/crates/replication/src/event.rs
@@ -77,7 +77,7 @@
     /// The replica holds no lease, and the order was not appended and never will be. The hint is the primary that
     /// it has heard within the lease.
     NotPrimary { hint: Option<NodeId> },
-    /// The order was appended, and the replica lost its lease or its office before it was committed: it may come
+    /// The order was appended, and the replica lost its lease or its leadership before it was committed: it may come
     /// into force or not.
     Unknown,
 }
--- a/crates/replication/src/formation.rs
+++ b/crates/replication/src/formation.rs
@@ -1,4 +1,4 @@
-//! From the state to a view in office: members are brought to it, witnesses accept.
+//! From the state to a view in force: members are brought to it, witnesses accept.
 
 use quillpulley_wire::{Accept, Accepted, AppendAck, Body, Decline, Installed, NodeId, Position, View};
 use std::collections::BTreeSet;
@@ -87,7 +87,7 @@
     }
 
     /// An elected node takes every node that it reaches as a member: it may need them for the tolerated losses. A
-    /// primary in office does so when planned members fail it.
+    /// active primary does so when planned members fail it.
     fn add_targets(&mut self) {
         let (Some(change), Some(replicator)) = (&mut self.change, &mut self.replicator) else { return };
         if change.plan.is_some() && self.now < change.since + self.options.drop_after {
@@ -165,12 +165,12 @@
             replicator.declined(self.now, from, decline.epoch);
         }
         let Some(change) = &mut self.change else { return };
-        let is_outbid = change.epoch == decline.epoch && decline.promised >= decline.epoch;
+        let is_superseded = change.epoch == decline.epoch && decline.promised >= decline.epoch;
         match change.phase {
             // A holder of the state that went after an epoch of its own follows a higher one.
-            Phase::Fetch if is_outbid => self.claim_again(),
+            Phase::Fetch if is_superseded => self.claim_again(),
             Phase::Fetch if change.epoch == decline.epoch => change.resend_at = self.now + ASK_AGAIN,
-            Phase::Sync if is_outbid || decline.leaving => self.go_on_without(from, is_outbid),
+            Phase::Sync if is_superseded || decline.leaving => self.go_on_without(from, is_superseded),
             Phase::Sync if change.epoch == decline.epoch => {
                 change.awaited.remove(&from);
                 self.check_sync();
@@ -180,13 +180,13 @@
     }
 
     /// A node does not come into the view of this epoch.
-    fn go_on_without(&mut self, node: NodeId, is_outbid: bool) {
+    fn go_on_without(&mut self, node: NodeId, is_superseded: bool) {
         let Some(change) = &mut self.change else { return };
         change.refused.insert(node);
         change.targets.remove(&node);
         change.awaited.remove(&node);
         let reachable = change.targets.iter().filter(|node| self.peers.is_connected(**node)).count();
-        if is_outbid && reachable < self.options.tolerated_machines {
+        if is_superseded && reachable < self.options.tolerated_machines {
             // Not enough nodes are left, but under a higher epoch this one can come in.
             self.claim_again();
         } else {
@@ -198,7 +198,7 @@
     pub(crate) fn claim_again(&mut self) {
         let Some(change) = &self.change else { return };
         let highest = change.highest.clone();
-        let plan = self.office.is_some().then(|| self.best_plan());
+        let plan = self.leadership.is_some().then(|| self.best_plan());
         let epoch = self.highest_epoch + 1;
         self.change = Some(ViewChange::new(epoch, Phase::Claim, self.now, highest, plan));
         self.claim_epoch();
@@ -214,7 +214,7 @@
 
     /// Whether the log of the replicator's epoch is being sent: not while a new epoch is being promised.
     pub(crate) fn may_write_log(&self) -> bool {
-        self.change.as_ref().map_or(self.office.is_some(), ViewChange::is_writing)
+        self.change.as_ref().map_or(self.leadership.is_some(), ViewChange::is_writing)
     }
 
     /// Goes on to the witnesses once enough members have the state, and the others had their time.
@@ -238,7 +238,8 @@
         let Some(change) = &mut self.change else { return };
         let highest = &change.highest;
         let (witnesses, previous_witnesses) = if highest.activated {
-            let may_change = self.office.as_ref().is_some_and(|office| office.view.epoch == highest.epoch);
+            let may_change =
+                self.leadership.as_ref().is_some_and(|leadership| leadership.view.epoch == highest.epoch);
             let planned = change.plan.as_ref().filter(|plan| may_change && plan.fits(&synced));
             let witnesses = planned.map_or(&highest.witnesses, |plan| &plan.witnesses);
             (witnesses.clone(), highest.witnesses.clone())
@@ -291,7 +292,7 @@
             return;
         }
         if proposal_is_activated(change) {
-            self.take_office();
+            self.take_over();
         } else {
             self.activate();
         }
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -156,8 +156,8 @@
             return;
         }
         warn!("{}: a write failed; until one succeeds this node neither votes nor stores", self.options.me);
-        if self.office.is_some() {
-            self.leave_office("its disk failed");
+        if self.leadership.is_some() {
+            self.step_down("its disk failed");
         }
         self.abandon_candidacy();
     }
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -1,4 +1,4 @@
-//! The primary in office: the lease, orders, and what is committed.
+//! The active primary: the lease, orders, and what is committed.
 
 use log::info;
 use quillpulley_wire::{Body, LeaseGrant, LeaseRequest, NodeId, View};
@@ -12,7 +12,7 @@
 use crate::view_change::{Phase, Plan, ViewChange};
 use crate::StateMachine;
 
-/// How long a primary waits, after it took office, for nodes that could become witnesses, before it acknowledges
+/// How long a primary waits, after it took over, for nodes that could become witnesses, before it acknowledges
 /// orders with fewer witnesses than the tolerated losses need.
 const WITNESS_PATIENCE: Duration = Duration::from_secs(3);
 
@@ -28,9 +28,9 @@
     payload: Vec<u8>,
 }
 
-/// What a primary keeps while it is in office. It goes from view to view as long as the primary stays.
+/// What a primary keeps while it leads. It goes from view to view as long as the primary leads.
 #[derive(Clone, Debug)]
-pub(crate) struct Office {
+pub(crate) struct Leadership {
     pub view: View,
     /// When this primary was elected.
     pub elected_at: Duration,
@@ -44,9 +44,9 @@
     waiting: VecDeque<WaitingOrder>,
 }
 
-impl Office {
+impl Leadership {
     fn new(view: View, inherited: u64, now: Duration, lease: Duration) -> Self {
-        Office {
+        Leadership {
             view,
             elected_at: now,
             inherited,
@@ -58,13 +58,13 @@
     }
 
     fn go_on_with(self, view: View, now: Duration) -> Self {
-        Office { view, next_heartbeat: now, ..self }
+        Leadership { view, next_heartbeat: now, ..self }
     }
 }
 
 impl<S: StateMachine> Replica<S> {
     /// The proposed view is in force, and this node its primary.
-    pub(crate) fn take_office(&mut self) {
+    pub(crate) fn take_over(&mut self) {
         let Some(change) = self.change.take() else { return };
         let Some(view) = change.proposal else { return };
         info!(
@@ -78,11 +78,11 @@
             self.disk.write_record(self.witness.record());
         }
         self.note_left_out(&view, change.plan);
-        let office = match self.office.take() {
-            Some(office) => office.go_on_with(view, self.now),
-            None => Office::new(view, change.end.index, self.now, self.options.lease),
+        let leadership = match self.leadership.take() {
+            Some(leadership) => leadership.go_on_with(view, self.now),
+            None => Leadership::new(view, change.end.index, self.now, self.options.lease),
         };
-        self.office = Some(office);
+        self.leadership = Some(leadership);
         self.peers.forget_refusals();
         self.heartbeat();
         self.advance_commit();
@@ -91,9 +91,9 @@
 
     /// Notes the members that were dropped, and the nodes that were to be let in and did not get there in time.
     fn note_left_out(&mut self, view: &View, plan: Option<Plan>) {
-        let Some(office) = &self.office else { return };
+        let Some(leadership) = &self.leadership else { return };
         let in_view = members(view);
-        let mut expected = members(&office.view);
+        let mut expected = members(&leadership.view);
         expected.extend(plan.into_iter().flat_map(|plan| plan.members));
         expected.retain(|node| !in_view.contains(node));
         expected.sort_unstable();
@@ -107,20 +107,20 @@
         }
     }
 
-    /// Gives up the office. Orders in the log may come into force or not.
-    pub(crate) fn leave_office(&mut self, why: &'static str) {
-        let Some(office) = self.office.take() else { return };
+    /// Steps down. Orders in the log may come into force or not.
+    pub(crate) fn step_down(&mut self, why: &'static str) {
+        let Some(leadership) = self.leadership.take() else { return };
         let public = self.change.take().filter(ViewChange::is_public);
         let change_epoch = public.map_or(0, |change| change.epoch);
         self.replicator = None;
-        info!("{}: leaves office of epoch {}: {why}", self.options.me, office.view.epoch);
-        for PendingOrder { order, .. } in office.pending {
+        info!("{}: steps down as the primary of epoch {}: {why}", self.options.me, leadership.view.epoch);
+        for PendingOrder { order, .. } in leadership.pending {
             self.actions.push(Action::Rejected { order, why: Rejection::Unknown });
         }
-        for WaitingOrder { order, .. } in office.waiting {
+        for WaitingOrder { order, .. } in leadership.waiting {
             self.actions.push(Action::Rejected { order, why: Rejection::NotPrimary { hint: None } });
         }
-        self.resign(change_epoch.max(office.view.epoch));
+        self.resign(change_epoch.max(leadership.view.epoch));
         self.postpone_election();
     }
 
@@ -128,8 +128,8 @@
     /// votes and stores.
     pub(crate) fn stop(&mut self) {
         self.stopped = true;
-        if self.office.is_some() {
-            self.leave_office("the process is to end");
+        if self.leadership.is_some() {
+            self.step_down("the process is to end");
         }
         self.abandon_candidacy();
         let epoch = self.witness.promised();
@@ -138,16 +138,17 @@
         }
     }
 
-    pub(crate) fn tick_office(&mut self) {
-        if self.office.is_none() {
+    pub(crate) fn tick_leadership(&mut self) {
+        if self.leadership.is_none() {
             return;
         }
         if !self.disk.is_usable(self.now) {
-            self.leave_office("its disk does not answer");
+            self.step_down("its disk does not answer");
             return;
         }
         self.check_lease();
-        let heartbeat_due = self.office.as_ref().is_some_and(|office| self.now >= office.next_heartbeat);
+        let heartbeat_due =
+            self.leadership.as_ref().is_some_and(|leadership| self.now >= leadership.next_heartbeat);
         if heartbeat_due {
             self.heartbeat();
         }
@@ -162,25 +163,25 @@
 
     /// When the lease ends, if it was ever granted.
     pub(crate) fn lease_end(&self) -> Option<Duration> {
-        let office = self.office.as_ref()?;
-        let mut sets = witness_sets(&office.view);
+        let leadership = self.leadership.as_ref()?;
+        let mut sets = witness_sets(&leadership.view);
         // From here on a candidate may know that the new witnesses alone decide.
         let activating = self.change.as_ref().filter(|change| change.phase == Phase::Activate);
         if let Some(view) = activating.and_then(|change| change.proposal.as_ref()) {
             sets.push(&view.witnesses);
         }
-        office.lease.ends_at(&sets)
+        leadership.lease.ends_at(&sets)
     }
 
     /// Asks all for the lease and tells them of the view. That is the heartbeat.
     fn heartbeat(&mut self) {
         let leased = self.holds_lease(self.now);
-        let Some(office) = &mut self.office else { return };
+        let Some(leadership) = &mut self.leadership else { return };
         let public = self.change.as_ref().filter(|change| change.is_public());
-        let epoch = public.map_or(office.view.epoch, |change| change.epoch);
-        office.next_heartbeat = self.now + self.options.heartbeat;
-        let round = office.lease.ask(self.now, epoch);
-        let view = Box::new(office.view.clone());
+        let epoch = public.map_or(leadership.view.epoch, |change| change.epoch);
+        leadership.next_heartbeat = self.now + self.options.heartbeat;
+        let round = leadership.lease.ask(self.now, epoch);
+        let view = Box::new(leadership.view.clone());
         let request = LeaseRequest { epoch, round, view, committed: self.applied.index, leased };
         let request = Body::LeaseRequest(Box::new(request));
         self.send(self.options.me, request.clone());
@@ -195,12 +196,12 @@
         let peer = self.peers.get_mut(from);
         peer.heard(self.now);
         peer.last = grant.last;
-        let Some(office) = &mut self.office else { return };
-        if grant.epoch >= office.view.epoch {
+        let Some(leadership) = &mut self.leadership else { return };
+        if grant.epoch >= leadership.view.epoch {
             peer.refuses = !grant.granted && grant.promised >= grant.epoch;
         }
         if grant.granted {
-            office.lease.granted(from, grant.round, grant.epoch);
+            leadership.lease.granted(from, grant.round, grant.epoch);
         }
         if !was_leased && self.holds_lease(self.now) {
             // The others follow only a primary that says that it holds the lease.
@@ -208,38 +209,38 @@
         }
     }
 
-    /// Without the lease no order is acknowledged; without it for long, the office is left.
+    /// Without the lease no order is acknowledged; without it for long, it steps down.
     fn check_lease(&mut self) {
         if self.holds_lease(self.now) {
             return;
         }
         self.forget_pending();
-        let Some(office) = &self.office else { return };
-        let end = self.lease_end().unwrap_or_default().max(office.elected_at + self.options.lease);
+        let Some(leadership) = &self.leadership else { return };
+        let end = self.lease_end().unwrap_or_default().max(leadership.elected_at + self.options.lease);
         if self.now > end + self.options.lease / 2 {
-            self.leave_office("it cannot renew its lease");
+            self.step_down("it cannot renew its lease");
         }
     }
 
     /// The fate of orders in the log is no longer this primary's to tell.
     fn forget_pending(&mut self) {
-        let Some(office) = &mut self.office else { return };
-        for PendingOrder { order, .. } in office.pending.drain(..) {
+        let Some(leadership) = &mut self.leadership else { return };
+        for PendingOrder { order, .. } in leadership.pending.drain(..) {
             self.actions.push(Action::Rejected { order, why: Rejection::Unknown });
         }
     }
 
     pub(crate) fn propose(&mut self, order: u64, payload: Vec<u8>) {
-        if self.office.is_some() && !self.disk.is_usable(self.now) {
-            self.leave_office("its disk does not answer");
+        if self.leadership.is_some() && !self.disk.is_usable(self.now) {
+            self.step_down("its disk does not answer");
         }
         if !self.holds_lease(self.now) {
             let why = Rejection::NotPrimary { hint: self.primary_hint(self.now) };
             self.actions.push(Action::Rejected { order, why });
             return;
         }
-        if let Some(office) = &mut self.office {
-            office.waiting.push_back(WaitingOrder { order, payload });
+        if let Some(leadership) = &mut self.leadership {
+            leadership.waiting.push_back(WaitingOrder { order, payload });
         }
         self.append_waiting();
     }
@@ -249,16 +250,16 @@
         if self.change.is_some() {
             return;
         }
-        let Some(office) = &mut self.office else { return };
-        let waiting = std::mem::take(&mut office.waiting);
+        let Some(leadership) = &mut self.leadership else { return };
+        let waiting = std::mem::take(&mut leadership.waiting);
         if waiting.is_empty() {
             return;
         }
-        let epoch = office.view.epoch;
+        let epoch = leadership.view.epoch;
         let mut entries = Vec::with_capacity(waiting.len());
         for WaitingOrder { order, payload } in waiting {
             let index = self.log.append(epoch, payload).index;
-            office.pending.push_back(PendingOrder { order, index });
+            leadership.pending.push_back(PendingOrder { order, index });
             entries.extend(self.log.get(index).cloned());
         }
         self.disk.write(Write::Append(entries));
@@ -272,7 +273,7 @@
             return;
         }
         let Some(stored) = self.stored_by_all() else { return };
-        let inherited = self.office.as_ref().map_or(0, |office| office.inherited);
+        let inherited = self.leadership.as_ref().map_or(0, |leadership| leadership.inherited);
         let index = if self.may_acknowledge() { stored } else { stored.min(inherited) };
         if index > self.applied.index {
             self.apply_up_to(index);
@@ -281,10 +282,10 @@
     }
 
     fn stored_by_all(&self) -> Option<u64> {
-        let office = self.office.as_ref()?;
+        let leadership = self.leadership.as_ref()?;
         let replicator = self.replicator.as_ref()?;
         let mut indices: Vec<u64> =
-            members(&office.view).iter().map(|node| replicator.acked_index(*node).unwrap_or(0)).collect();
+            members(&leadership.view).iter().map(|node| replicator.acked_index(*node).unwrap_or(0)).collect();
         indices.sort_unstable_by(|a, b| b.cmp(a));
         if self.options.faults.acknowledge_by_majority {
             return indices.get(majority(indices.len()) - 1).copied();
@@ -294,21 +295,21 @@
 
     /// Whether what is stored by all members survives the losses that have to be tolerated.
     fn may_acknowledge(&self) -> bool {
-        let Some(office) = &self.office else { return false };
+        let Some(leadership) = &self.leadership else { return false };
         let tolerated = self.options.tolerated_machines;
-        let has_members = members(&office.view).len() > tolerated;
-        let has_witnesses = office.view.witnesses.len() > 2 * tolerated;
-        let waited = self.now > office.elected_at + WITNESS_PATIENCE;
+        let has_members = members(&leadership.view).len() > tolerated;
+        let has_witnesses = leadership.view.witnesses.len() > 2 * tolerated;
+        let waited = self.now > leadership.elected_at + WITNESS_PATIENCE;
         has_members && (has_witnesses || waited || !self.awaits_witness())
     }
 
     /// Tells the fate of the orders that are committed.
     fn settle_orders(&mut self) {
         let leased = self.holds_lease(self.now);
-        let Some(office) = &mut self.office else { return };
+        let Some(leadership) = &mut self.leadership else { return };
         let applied = self.applied.index;
-        let settled = office.pending.iter().take_while(|pending| pending.index <= applied).count();
-        for PendingOrder { order, .. } in office.pending.drain(..settled) {
+        let settled = leadership.pending.iter().take_while(|pending| pending.index <= applied).count();
+        for PendingOrder { order, .. } in leadership.pending.drain(..settled) {
             self.actions.push(if leased {
                 Action::Committed { order }
             } else {
@@ -322,8 +323,8 @@
         if let Some(change) = &self.change {
             return if change.is_writing() { change.targets.iter().copied().collect() } else { Vec::new() };
         }
-        let Some(office) = &self.office else { return Vec::new() };
-        let mut nodes = members(&office.view);
+        let Some(leadership) = &self.leadership else { return Vec::new() };
+        let mut nodes = members(&leadership.view);
         nodes.extend(self.joiners());
         if let Some(replicator) = &mut self.replicator {
             for node in &nodes {
--- a/crates/replication/src/reconfiguration.rs
+++ b/crates/replication/src/reconfiguration.rs
@@ -1,4 +1,4 @@
-//! What a primary in office changes about its view: whom it drops, whom it lets in, who becomes a witness.
+//! What an active primary changes about its view: whom it drops, whom it lets in, who becomes a witness.
 
 use quillpulley_wire::{NodeId, View};
 use std::collections::BTreeSet;
@@ -29,12 +29,12 @@
         if !self.holds_lease(self.now) {
             return;
         }
-        let Some(office) = &self.office else { return };
+        let Some(leadership) = &self.leadership else { return };
         let plan = self.best_plan();
-        let is_change = plan.members != members(&office.view).into_iter().collect()
-            || plan.witnesses != office.view.witnesses;
-        if is_change || self.is_outbid(&plan) {
-            self.begin_reconfiguration(office.view.clone(), plan);
+        let is_change = plan.members != members(&leadership.view).into_iter().collect()
+            || plan.witnesses != leadership.view.witnesses;
+        if is_change || self.is_superseded(&plan) {
+            self.begin_reconfiguration(leadership.view.clone(), plan);
         }
     }
 
@@ -47,8 +47,8 @@
 
     /// The view as it should be now. Members are lost only as long as enough are left.
     pub(crate) fn best_plan(&self) -> Plan {
-        let Some(office) = &self.office else { return Plan::default() };
-        let before: BTreeSet<NodeId> = members(&office.view).into_iter().collect();
+        let Some(leadership) = &self.leadership else { return Plan::default() };
+        let before: BTreeSet<NodeId> = members(&leadership.view).into_iter().collect();
         let mut after: BTreeSet<NodeId> =
             before.iter().copied().filter(|node| !self.is_lost(*node)).collect();
         let ready: Vec<NodeId> = self.joiners().into_iter().filter(|node| self.is_ready(*node)).collect();
@@ -62,12 +62,12 @@
 
     /// Whether a member does not do its part any more.
     fn is_lost(&self, node: NodeId) -> bool {
-        let Some(office) = &self.office else { return false };
+        let Some(leadership) = &self.leadership else { return false };
         if node == self.options.me {
             return false;
         }
         let drop_after = self.options.drop_after;
-        let silent = self.silent_for(node, office.elected_at) > drop_after;
+        let silent = self.silent_for(node, leadership.elected_at) > drop_after;
         let progress = self.replicator.as_ref().and_then(|replicator| replicator.get(node));
         silent
             || self.peers.is_leaving(self.now, node)
@@ -83,8 +83,8 @@
 
     /// Nodes that answer steadily and are no members.
     pub(crate) fn joiners(&self) -> Vec<NodeId> {
-        let Some(office) = &self.office else { return Vec::new() };
-        let in_view = members(&office.view);
+        let Some(leadership) = &self.leadership else { return Vec::new() };
+        let in_view = members(&leadership.view);
         let mut nodes = self.peers.connected();
         nodes.retain(|node| !in_view.contains(node) && self.is_steady(*node));
         nodes
@@ -103,7 +103,7 @@
     }
 
     /// Whether a node of the view has promised an epoch to another, and so takes nothing from this one.
-    fn is_outbid(&self, plan: &Plan) -> bool {
+    fn is_superseded(&self, plan: &Plan) -> bool {
         let refuses = |node: &NodeId| {
             self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now) && peer.refuses)
         };
@@ -112,8 +112,8 @@
 
     /// The next set of witnesses, with at most one in or out, and the one that comes in.
     fn next_witnesses(&self, members: &BTreeSet<NodeId>) -> (Vec<NodeId>, Option<NodeId>) {
-        let Some(office) = &self.office else { return (Vec::new(), None) };
-        let mut witnesses = office.view.witnesses.clone();
+        let Some(leadership) = &self.leadership else { return (Vec::new(), None) };
+        let mut witnesses = leadership.view.witnesses.clone();
         let may_come_in = |node: &NodeId| {
             let answers = self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now));
             !witnesses.contains(node) && (answers || *node == self.options.me)
@@ -140,15 +140,15 @@
     }
 
     fn unreachable(&self, witnesses: &[NodeId], time: Duration) -> Option<usize> {
-        let office = self.office.as_ref()?;
+        let leadership = self.leadership.as_ref()?;
         let me = self.options.me;
-        witnesses.iter().position(|node| *node != me && self.silent_for(*node, office.elected_at) > time)
+        witnesses.iter().position(|node| *node != me && self.silent_for(*node, leadership.elected_at) > time)
     }
 
     /// Whether a node answers that is to become a witness.
     pub(crate) fn awaits_witness(&self) -> bool {
-        let Some(office) = &self.office else { return false };
-        let is_new = |node: &NodeId| !office.view.witnesses.contains(node);
+        let Some(leadership) = &self.leadership else { return false };
+        let is_new = |node: &NodeId| !leadership.view.witnesses.contains(node);
         let answers = |node: &NodeId| self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now));
         self.peers.connected().iter().any(|node| is_new(node) && answers(node))
     }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -10,7 +10,7 @@
 use crate::log::Log;
 use crate::options::{Options, Recovered, StartError};
 use crate::peers::Peers;
-use crate::primary::Office;
+use crate::primary::Leadership;
 use crate::progress::Replicator;
 use crate::quorum::{bootstrap_view, electors, members, BOOTSTRAP_EPOCH};
 use crate::view_change::ViewChange;
@@ -27,7 +27,7 @@
 
 /// One core process: a witness, and a member of the view if a primary has let it in.
 ///
-/// Every state changes in [`Replica::handle`] only. With an office it is a primary, else with a view change under
+/// Every state changes in [`Replica::handle`] only. While it leads it is a primary, else with a view change under
 /// way it is a candidate, else it follows.
 #[derive(Clone, Debug)]
 pub struct Replica<S> {
@@ -40,7 +40,7 @@
     pub(crate) witness: Witness,
     pub(crate) disk: Disk,
     pub(crate) peers: Peers,
-    pub(crate) office: Option<Office>,
+    pub(crate) leadership: Option<Leadership>,
     pub(crate) change: Option<ViewChange>,
     pub(crate) replicator: Option<Replicator>,
     /// The highest epoch that anyone is known to have promised.
@@ -92,7 +92,7 @@
             witness,
             disk,
             peers: Peers::default(),
-            office: None,
+            leadership: None,
             change: None,
             replicator: None,
             highest_epoch,
@@ -148,8 +148,8 @@
 
     /// What the replica is at this moment.
     pub fn role(&self, now: Duration) -> Role {
-        if let Some(office) = &self.office {
-            return Role::Primary { epoch: office.view.epoch, lease: self.holds_lease(now) };
+        if let Some(leadership) = &self.leadership {
+            return Role::Primary { epoch: leadership.view.epoch, lease: self.holds_lease(now) };
         }
         if self.stopped {
             return Role::Stopped;
@@ -162,14 +162,14 @@
 
     /// Whether it is the primary and holds the lease. Ask again right before every act that only a primary may do.
     pub fn holds_lease(&self, now: Duration) -> bool {
-        self.office.is_some()
+        self.leadership.is_some()
             && (self.options.faults.ignore_own_lease || self.lease_end().is_some_and(|end| now < end))
     }
 
     /// The newest view that is known: its epoch, members and witnesses. None before the first.
     pub fn view(&self) -> Option<&View> {
         let known = self.witness.view().filter(|view| view.epoch > BOOTSTRAP_EPOCH);
-        self.office.as_ref().map(|office| &office.view).or(known)
+        self.leadership.as_ref().map(|leadership| &leadership.view).or(known)
     }
 
     /// The nodes that the newest view names, or the first witnesses: the host should connect to their addresses.
@@ -239,7 +239,7 @@
         self.heal_disk();
         self.check_election();
         self.tick_view_change();
-        self.tick_office();
+        self.tick_leadership();
     }
 
     /// Does what was waiting for writes.
--- a/crates/replication/src/view_change.rs
+++ b/crates/replication/src/view_change.rs
@@ -1,7 +1,7 @@
 //! A new view on its way: the state that elections and reconfigurations share.
 //!
 //! `Trial` (elections only) → `Claim` → `Prepare` → `Fetch` (if this node is no member) → `Sync` → `Accept` →
-//! `Activate` (if the set of witnesses changes) → in office.
+//! `Activate` (if the set of witnesses changes) → in force.
 
 use quillpulley_wire::{NodeId, Position, View};
 use std::collections::BTreeSet;
@@ -28,7 +28,7 @@
     Activate,
 }
 
-/// What a primary in office wants to change.
+/// What an active primary wants to change.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Plan {
     pub members: BTreeSet<NodeId>,
@@ -51,7 +51,7 @@
     pub agreed: BTreeSet<NodeId>,
     /// Who has promised a higher epoch to another.
     pub refused: BTreeSet<NodeId>,
-    /// What a primary in office wants; none in an election.
+    /// What an active primary wants; none in an election.
     pub plan: Option<Plan>,
     /// The nodes that may become members.
     pub targets: BTreeSet<NodeId>,
--- a/crates/replication/src/voter.rs
+++ b/crates/replication/src/voter.rs
@@ -50,7 +50,8 @@
     /// Two candidates that stand at the same time would keep each other from a majority: the one with the lower
     /// identity gives up, and the other tries again with a higher epoch.
     fn yield_to_rival(&mut self, rival: NodeId) {
-        let competes = self.office.is_none() && self.change.as_ref().is_some_and(ViewChange::is_contested);
+        let competes =
+            self.leadership.is_none() && self.change.as_ref().is_some_and(ViewChange::is_contested);
         if competes && rival > self.options.me {
             self.abandon_candidacy();
             self.postpone_election();
@@ -60,7 +61,7 @@
     fn promise(&self, epoch: u64, trial: bool, vote: Vote) -> Promise {
         let lease_left = match vote {
             Vote::Held(left) => left,
-            Vote::Granted | Vote::Outbid => Duration::ZERO,
+            Vote::Granted | Vote::Superseded => Duration::ZERO,
         };
         Promise {
             epoch,
@@ -140,18 +141,18 @@
         if leased {
             self.defer_to(from);
             self.primary_heard = Some((from, self.now));
-        } else if self.office.is_some() || outdated {
+        } else if self.leadership.is_some() || outdated {
             self.defer_to(from);
         }
     }
 
-    /// Gives way to another node's office or candidacy.
+    /// Gives way to another node's leadership or candidacy.
     pub(crate) fn defer_to(&mut self, from: NodeId) {
         if from == self.options.me {
             return;
         }
-        if self.office.is_some() {
-            self.leave_office("another node has a higher epoch");
+        if self.leadership.is_some() {
+            self.step_down("another node has a higher epoch");
         }
         self.change = None;
         self.replicator = None;
--- a/crates/replication/src/witness.rs
+++ b/crates/replication/src/witness.rs
@@ -28,7 +28,7 @@
 pub(crate) enum Vote {
     Granted,
     /// The witness has promised an epoch that is as high to another.
-    Outbid,
+    Superseded,
     /// The lease of another, or its candidacy, runs for that time.
     Held(Duration),
 }
@@ -120,7 +120,7 @@
 
     fn consider(&self, now: Duration, epoch: u64, candidate: NodeId) -> Vote {
         if !self.admits(epoch, candidate) {
-            return Vote::Outbid;
+            return Vote::Superseded;
         }
         match self.lease.and_then(|hold| hold.left(now, candidate)) {
             Some(left) if !self.ignores_lease => Vote::Held(left),
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Notes a view that is known to be in office, or that is accepted. Says whether it was news.
+    /// Notes a view that is known to be in force, or that is accepted. Says whether it was news.
     pub fn learn(&mut self, view: &View) -> bool {
         let news = is_newer(view, self.view());
         if news {
--- a/crates/replication/tests/replication/model/cluster.rs
+++ b/crates/replication/tests/replication/model/cluster.rs
@@ -42,8 +42,8 @@
     pub acknowledged: Vec<Position>,
     /// For each base, the order that was acknowledged on it.
     pub taken_on: BTreeMap<u64, u64>,
-    /// The epochs of the views that came into office.
-    pub offices: BTreeSet<u64>,
+    /// The epochs of the views that came into force.
+    pub epochs_in_force: BTreeSet<u64>,
     pub faulty: Faults,
     /// An invariant that was broken in a step.
     pub broken: Option<String>,
@@ -104,7 +104,7 @@
             wiped: None,
             acknowledged: Vec::new(),
             taken_on: BTreeMap::new(),
-            offices: BTreeSet::new(),
+            epochs_in_force: BTreeSet::new(),
             faulty,
             broken: None,
         };
@@ -164,7 +164,7 @@
                 None
             }
             Action::RoleChanged(Role::Primary { epoch, .. }) => {
-                self.offices.insert(epoch);
+                self.epochs_in_force.insert(epoch);
                 None
             }
             _ => None,
--- a/crates/replication/tests/replication/model/mod.rs
+++ b/crates/replication/tests/replication/model/mod.rs
@@ -57,8 +57,8 @@
         vec![
             Property::always(NOTHING_LOST, |_, state: &Cluster| state.violation().is_none()),
             Property::always("one holder of the lease", |_, state: &Cluster| state.leaders().len() <= 1),
-            Property::sometimes("a view takes office on the way", |_, state: &Cluster| {
-                !state.offices.is_empty()
+            Property::sometimes("a view takes leadership on the way", |_, state: &Cluster| {
+                !state.epochs_in_force.is_empty()
             }),
         ]
     }
@@ -86,7 +86,7 @@
 }
 
 fn explore(mut begins: Vec<Cluster>, depth: usize) -> impl Checker<Worlds> {
-    begins.iter_mut().for_each(|begin| begin.offices.clear());
+    begins.iter_mut().for_each(|begin| begin.epochs_in_force.clear());
     Worlds { begins }.checker().threads(THREADS).target_max_depth(depth).spawn_bfs().join()
 }
 
