State the costs of a server's condition once for both choices of servers

The choice among model servers and the one among plain servers had the same function with other weights.

--- /dev/null
+++ b/crates/routing/src/balancer/condition.rs
@@ -0,0 +1,29 @@
+//! What a server's condition adds to the cost of choosing it: slow, failing or cold.
+
+use super::server::Server;
+use super::service::Medians;
+use std::time::Duration;
+
+/// A server counts as slow if it takes more than this many times the median of its service.
+const SLOW_FROM: f64 = 2.0;
+
+/// The costs of each condition, in the unit of the choice that uses them.
+pub(super) struct ConditionCosts {
+    /// For each time that a slow server takes longer than the median of its service.
+    pub(super) slow: f64,
+    /// For a server that fails more often than others.
+    pub(super) failing: f64,
+    /// For a server that is cold.
+    pub(super) cold: f64,
+}
+
+impl ConditionCosts {
+    /// The cost of a server's condition now.
+    pub(super) fn of(&self, server: &Server, medians: &Medians, now: Duration) -> f64 {
+        let slowness = server.speed.slowness(now, medians.token_ms);
+        let slow = if slowness > SLOW_FROM { (slowness - 1.0) * self.slow } else { 0.0 };
+        let failing = if server.failing_share(now) > medians.failing_from { self.failing } else { 0.0 };
+        let cold = if server.is_cold(now) { self.cold } else { 0.0 };
+        slow + failing + cold
+    }
+}
--- a/crates/routing/src/balancer/engine.rs
+++ b/crates/routing/src/balancer/engine.rs
@@ -4,6 +4,7 @@
 //! takes the server's time, and carries a price where another server has read it.
 
 use super::candidates::Candidate;
+use super::condition::ConditionCosts;
 use super::server::{Distance, Server};
 use super::service::{Medians, ServiceSettings, ServiceState};
 use crate::demand::Demand;
@@ -32,13 +33,8 @@
 /// that a full fleet does not spend its time on reading prefixes again.
 const OCCUPANCY: f64 = 500.0;
 const OCCUPANCY_CUBED: f64 = 2_000.0;
-/// For each time that a server takes longer than the median of its service, from twice the median on.
-const SLOW: f64 = 1_500.0;
-const SLOW_FROM: f64 = 2.0;
-/// A server that fails more often than others.
-const FAILING: f64 = 8_000.0;
 /// A server that is cold reads everything anew, and is slow.
-const COLD: f64 = 1_000.0;
+const CONDITION: ConditionCosts = ConditionCosts { slow: 1_500.0, failing: 8_000.0, cold: 1_000.0 };
 
 /// What all candidates of a request have in common.
 pub(super) struct EngineCosts<'a> {
@@ -75,7 +71,7 @@
             + self.disturbance(server, shared + self.own_tokens)
             + self.crossing(server)
             + self.occupancy(server)
-            + self.condition(server)
+            + CONDITION.of(server, &self.medians, self.now)
     }
 
     fn reading(&self, candidate: &Candidate, kept: u32) -> f64 {
@@ -116,12 +112,4 @@
         let occupancy = slots.max(memory);
         OCCUPANCY * occupancy + OCCUPANCY_CUBED * occupancy.powi(3)
     }
-
-    fn condition(&self, server: &Server) -> f64 {
-        let slowness = server.speed.slowness(self.now, self.medians.token_ms);
-        let slow = if slowness > SLOW_FROM { (slowness - 1.0) * SLOW } else { 0.0 };
-        let failing = if server.failing_share(self.now) > self.medians.failing_from { FAILING } else { 0.0 };
-        let cold = if server.is_cold(self.now) { COLD } else { 0.0 };
-        slow + failing + cold
-    }
 }
--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -3,6 +3,7 @@
 
 mod candidates;
 mod choice;
+mod condition;
 mod engine;
 mod health;
 mod listing;
--- a/crates/routing/src/balancer/plain.rs
+++ b/crates/routing/src/balancer/plain.rs
@@ -1,5 +1,6 @@
 //! Choice among servers that run no model: the least occupied one that is near.
 
+use super::condition::ConditionCosts;
 use super::server::{Distance, Server};
 use super::service::{Medians, ServiceSettings, ServiceState};
 use std::cmp::Ordering;
@@ -8,10 +9,7 @@
 /// A server that is near is used until it is this full; then all are compared.
 const NEAR_UNTIL: f64 = 0.7;
 /// What makes a server look fuller than it is.
-const COLD: f64 = 0.2;
-const FAILING: f64 = 0.5;
-const SLOW: f64 = 0.2;
-const SLOW_FROM: f64 = 2.0;
+const CONDITION: ConditionCosts = ConditionCosts { slow: 0.2, failing: 0.5, cold: 0.2 };
 
 /// How good a server is, the least the best.
 #[derive(Clone, Copy, Debug)]
@@ -43,7 +41,8 @@
 
     pub(super) fn of(&self, server: &Server) -> Rating {
         let requests = server.load.total(self.now).requests();
-        let occupancy = requests / self.settings.slots(&server.info) + self.condition(server);
+        let occupancy =
+            requests / self.settings.slots(&server.info) + CONDITION.of(server, &self.medians, self.now);
         let tier = match server.distance {
             _ if occupancy >= NEAR_UNTIL => 3,
             Distance::SameZone => 0,
@@ -52,12 +51,4 @@
         };
         Rating { tier, occupancy, distance: server.distance }
     }
-
-    fn condition(&self, server: &Server) -> f64 {
-        let slowness = server.speed.slowness(self.now, self.medians.token_ms);
-        let slow = if slowness > SLOW_FROM { (slowness - 1.0) * SLOW } else { 0.0 };
-        let failing = if server.failing_share(self.now) > self.medians.failing_from { FAILING } else { 0.0 };
-        let cold = if server.is_cold(self.now) { COLD } else { 0.0 };
-        slow + failing + cold
-    }
 }
