Acknowledge by place, let leaving members end only when their data stands elsewhere

Cause: members of a view were only counted, so an order could be acknowledged by members of one zone although zones and regions may be lost; a witness set of even size kept a witness that had left for three seconds, in which the next loss took the majority; a process that was told to end did so after 0.4 s, even if it was one of two members left.

Change: the replica knows the zone and region of nodes (Event::Located); a view that stands in too few places waits 1.5 s at most for connected nodes elsewhere and then acknowledges in a degraded state, logged once. Witnesses are chosen by place, a witness that is gone is replaced after 1 s and removed from an even set after 0.5 s, both at once if it said that it leaves. Members that are about to end stay members as long as there are too few others, and Replica::may_end says when their data stands elsewhere.

--- a/crates/replication/src/event.rs
+++ b/crates/replication/src/event.rs
@@ -1,5 +1,6 @@
 //! What goes into a replica and what comes out of it.
 
+use crate::Place;
 use quillpulley_wire::{Body, Entry, NodeId, Position, WitnessRecord};
 
 /// Something that a replica must know of.
@@ -7,6 +8,8 @@
 pub enum Event {
     /// A message of another core process, whose `Hello` named it.
     Message { from: NodeId, body: Body },
+    /// Where a node stands, as its `Hello` told. Comes before [`Event::Connected`].
+    Located { node: NodeId, place: Place },
     /// Messages can be sent to the node from now on.
     Connected(NodeId),
     /// Messages to the node go nowhere from now on.
--- a/crates/replication/src/formation.rs
+++ b/crates/replication/src/formation.rs
@@ -67,7 +67,12 @@
             Some(plan) => plan.members.clone(),
             None => members(&change.highest).into_iter().chain(electors(&change.highest)).collect(),
         };
-        change.awaited.retain(|node| !self.peers.is_leaving(self.now, *node));
+        // Nodes that are about to end come in only if there are too few others.
+        let leaving = |node: &NodeId| self.peers.is_leaving(self.now, *node);
+        let staying = change.awaited.iter().filter(|node| !leaving(node)).count();
+        if change.plan.is_none() || staying > self.options.tolerated_machines {
+            change.awaited.retain(|node| !leaving(node));
+        }
         change.targets = change.awaited.clone();
         change.targets.insert(me);
         change.end = self.log.append(change.epoch, Vec::new());
@@ -89,19 +94,30 @@
     /// An elected node takes every node that it reaches as a member: it may need them for the tolerated losses. A
     /// active primary does so when planned members fail it.
     fn add_targets(&mut self) {
+        let needs_leaving = self.needs_leaving();
         let (Some(change), Some(replicator)) = (&mut self.change, &mut self.replicator) else { return };
         if change.plan.is_some() && self.now < change.since + self.options.drop_after {
             return;
         }
         for node in self.peers.connected() {
-            let may_join = !self.peers.is_leaving(self.now, node) && !change.refused.contains(&node);
-            if may_join && change.targets.insert(node) {
+            let stays = needs_leaving || !self.peers.is_leaving(self.now, node);
+            if stays && !change.refused.contains(&node) && change.targets.insert(node) {
                 let last = self.peers.get(node).map(|peer| peer.last).unwrap_or_default();
                 replicator.add(node, last);
             }
         }
     }
 
+    /// Whether there are too few members without nodes that are about to end.
+    fn needs_leaving(&self) -> bool {
+        let Some(change) = &self.change else { return false };
+        let stays = |node: &&NodeId| {
+            let is_there = self.peers.is_connected(**node) || **node == self.options.me;
+            is_there && !self.peers.is_leaving(self.now, **node)
+        };
+        change.targets.iter().filter(stays).count() <= self.options.tolerated_machines
+    }
+
     /// Counts this node's own log like that of any member, once it is durable.
     pub(crate) fn acknowledge_own(&mut self, epoch: u64, last: Position) {
         let ack = AppendAck { epoch, last, matched: true };
@@ -167,10 +183,12 @@
         let Some(change) = &mut self.change else { return };
         let is_superseded = change.epoch == decline.epoch && decline.promised >= decline.epoch;
         match change.phase {
+            // It takes the log as long as it is there.
+            _ if decline.leaving && !is_superseded => self.go_on_without_leaving(from),
             // A holder of the state that went after an epoch of its own follows a higher one.
             Phase::Fetch if is_superseded => self.claim_again(),
             Phase::Fetch if change.epoch == decline.epoch => change.resend_at = self.now + ASK_AGAIN,
-            Phase::Sync if is_superseded || decline.leaving => self.go_on_without(from, is_superseded),
+            Phase::Sync if is_superseded => self.go_on_without(from),
             Phase::Sync if change.epoch == decline.epoch => {
                 change.awaited.remove(&from);
                 self.check_sync();
@@ -179,14 +197,25 @@
         }
     }
 
-    /// A node does not come into the view of this epoch.
-    fn go_on_without(&mut self, node: NodeId, is_superseded: bool) {
+    /// A node is about to end. It comes into the view only if there are too few others.
+    fn go_on_without_leaving(&mut self, node: NodeId) {
+        let needs_leaving = self.needs_leaving();
+        let Some(change) = self.change.as_mut().filter(|change| change.phase == Phase::Sync) else { return };
+        change.awaited.remove(&node);
+        if !needs_leaving {
+            change.targets.remove(&node);
+        }
+        self.check_sync();
+    }
+
+    /// A node has promised a higher epoch, and does not come into the view of this one.
+    fn go_on_without(&mut self, node: NodeId) {
         let Some(change) = &mut self.change else { return };
         change.refused.insert(node);
         change.targets.remove(&node);
         change.awaited.remove(&node);
         let reachable = change.targets.iter().filter(|node| self.peers.is_connected(**node)).count();
-        if is_superseded && reachable < self.options.tolerated_machines {
+        if reachable < self.options.tolerated_machines {
             // Not enough nodes are left, but under a higher epoch this one can come in.
             self.claim_again();
         } else {
@@ -221,9 +250,15 @@
     fn check_sync(&mut self) {
         let Some(change) = self.change.as_ref().filter(|change| change.phase == Phase::Sync) else { return };
         let Some(replicator) = &self.replicator else { return };
-        let has_all =
-            |node: &NodeId| replicator.acked_index(*node).is_some_and(|index| index >= change.end.index);
-        let synced: BTreeSet<NodeId> = change.targets.iter().copied().filter(has_all).collect();
+        let early = self.options.faults.count_joiner_early;
+        let has_all = |node: &NodeId| {
+            early || replicator.acked_index(*node).is_some_and(|index| index >= change.end.index)
+        };
+        let mut synced: BTreeSet<NodeId> = change.targets.iter().copied().filter(has_all).collect();
+        let leaving = |node: &NodeId| self.peers.is_leaving(self.now, *node);
+        if synced.iter().filter(|node| !leaving(node)).count() > self.options.tolerated_machines {
+            synced.retain(|node| !leaving(node));
+        }
         let grace = if change.plan.is_some() { self.options.drop_after } else { SYNC_GRACE };
         let in_grace = self.now < change.since + grace;
         let may_come = |node: &NodeId| !synced.contains(node) && self.peers.is_connected(*node);
@@ -247,6 +282,8 @@
             // Both sets still decide, and so both stay.
             (highest.witnesses.clone(), highest.previous_witnesses.clone())
         };
+        let one_step = self.options.faults.change_witnesses_in_one_step;
+        let previous_witnesses = if one_step { witnesses.clone() } else { previous_witnesses };
         let view = View {
             epoch: change.epoch,
             primary: me,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -10,15 +10,18 @@
 //! - A node is its address and the incarnation of its disk. A wiped disk is another node, which has promised
 //!   nothing and is let in like any new one.
 
+mod cover;
 mod disk;
 mod election;
 mod event;
 mod formation;
 mod lease;
+mod leaving;
 mod log;
 mod member;
 mod options;
 mod peers;
+mod place;
 mod primary;
 mod progress;
 mod quorum;
@@ -28,10 +31,13 @@
 mod view_change;
 mod voter;
 mod witness;
+mod witness_set;
 
+pub use cover::ViewExposure;
 pub use event::{Action, Event, Rejection, Role, StoreFault, Write};
 #[doc(hidden)]
 pub use options::Faults;
 pub use options::{Options, Recovered, StartError};
+pub use place::{Exposure, Place};
 pub use replica::Replica;
 pub use state_machine::{RestoreError, StateMachine};
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -18,7 +18,10 @@
         if from == self.options.me {
             return false;
         }
-        if self.stopped || !self.disk.is_usable(self.now) {
+        if self.stopped {
+            self.announce_leaving_to(from);
+        }
+        if !self.disk.is_usable(self.now) {
             self.decline(from, epoch);
         }
         if !self.disk.is_healthy() {
--- a/crates/replication/src/options.rs
+++ b/crates/replication/src/options.rs
@@ -10,13 +10,19 @@
 pub struct Options {
     /// The identity of this process: its address, and the incarnation that its disk holds.
     pub me: NodeId,
-    /// The zone of its machine, for logs.
+    /// The zone of its machine.
     pub zone: String,
+    /// The region of its machine.
+    pub region: String,
     /// At the first start of the whole system: the first set of witnesses, with incarnation 0. It is looked at
     /// only if the disk holds no record.
     pub bootstrap: Option<Vec<NodeId>>,
     /// How many machines may lose their disks at once. Orders are acknowledged by more members than this.
     pub tolerated_machines: usize,
+    /// How many zones may be lost at once, with all members and witnesses in them.
+    pub tolerated_zones: usize,
+    /// How many regions may be lost at once, with all members and witnesses in them.
+    pub tolerated_regions: usize,
     /// How long a granted lease runs.
     pub lease: Duration,
     /// How often a primary renews its lease.
@@ -39,8 +45,11 @@
         Options {
             me: NodeId::default(),
             zone: String::new(),
+            region: String::new(),
             bootstrap: None,
             tolerated_machines: 1,
+            tolerated_zones: 0,
+            tolerated_regions: 0,
             lease: Duration::from_millis(900),
             heartbeat: Duration::from_millis(150),
             drop_after: Duration::from_millis(500),
@@ -64,6 +73,10 @@
     pub promise_under_lease: bool,
     /// A witness answers before its record is on disk.
     pub answer_before_sync: bool,
+    /// A primary or candidate counts a node as a member before that holds the log.
+    pub count_joiner_early: bool,
+    /// A primary lets the new set of witnesses decide alone, without the agreement of the one before.
+    pub change_witnesses_in_one_step: bool,
 }
 
 /// What a replica finds on its disk.
--- a/crates/replication/src/peers.rs
+++ b/crates/replication/src/peers.rs
@@ -1,5 +1,6 @@
 //! What is known of the other core processes: connections, answers, and how often they were dropped.
 
+use crate::Place;
 use quillpulley_wire::{NodeId, Position};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,6 +24,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peer {
     pub connected: bool,
+    /// Where it stands, if its `Hello` was heard in this life of the process.
+    pub place: Option<Place>,
     heard_at: Option<Duration>,
     answering_since: Option<Duration>,
     /// The end of its log, as it told last.
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::cover::CoverState;
 use crate::event::{Action, Rejection, Write};
 use crate::lease::Lease;
 use crate::quorum::{majority, members, witness_sets};
@@ -12,10 +13,6 @@
 use crate::view_change::{Phase, Plan, ViewChange};
 use crate::StateMachine;
 
-/// How long a primary waits, after it took over, for nodes that could become witnesses, before it acknowledges
-/// orders with fewer witnesses than the tolerated losses need.
-const WITNESS_PATIENCE: Duration = Duration::from_secs(3);
-
 #[derive(Clone, Copy, Debug)]
 struct PendingOrder {
     order: u64,
@@ -34,6 +31,7 @@
     pub view: View,
     /// When this primary was elected.
     pub elected_at: Duration,
+    pub cover: CoverState,
     /// The end of the log with which it was elected. Its members hold all up to there, so it is committed.
     inherited: u64,
     lease: Lease,
@@ -49,6 +47,7 @@
         Leadership {
             view,
             elected_at: now,
+            cover: CoverState::default(),
             inherited,
             lease: Lease::new(lease),
             next_heartbeat: now,
@@ -85,6 +84,7 @@
         self.leadership = Some(leadership);
         self.peers.forget_refusals();
         self.heartbeat();
+        self.check_cover();
         self.advance_commit();
         self.append_waiting();
     }
@@ -124,20 +124,6 @@
         self.postpone_election();
     }
 
-    /// Ends this node's part: a primary hands over, a backup asks to be dropped, and it stands no more. It still
-    /// votes and stores.
-    pub(crate) fn stop(&mut self) {
-        self.stopped = true;
-        if self.leadership.is_some() {
-            self.step_down("the process is to end");
-        }
-        self.abandon_candidacy();
-        let epoch = self.witness.promised();
-        for node in self.peers.connected() {
-            self.decline(node, epoch);
-        }
-    }
-
     pub(crate) fn tick_leadership(&mut self) {
         if self.leadership.is_none() {
             return;
@@ -155,6 +141,7 @@
         if self.change.is_none() {
             self.check_reconfiguration();
         }
+        self.check_cover();
         if self.change.is_none() {
             self.pump();
             self.advance_commit();
@@ -293,16 +280,6 @@
         indices.last().copied()
     }
 
-    /// Whether what is stored by all members survives the losses that have to be tolerated.
-    fn may_acknowledge(&self) -> bool {
-        let Some(leadership) = &self.leadership else { return false };
-        let tolerated = self.options.tolerated_machines;
-        let has_members = members(&leadership.view).len() > tolerated;
-        let has_witnesses = leadership.view.witnesses.len() > 2 * tolerated;
-        let waited = self.now > leadership.elected_at + WITNESS_PATIENCE;
-        has_members && (has_witnesses || waited || !self.awaits_witness())
-    }
-
     /// Tells the fate of the orders that are committed.
     fn settle_orders(&mut self) {
         let leased = self.holds_lease(self.now);
--- a/crates/replication/src/reconfiguration.rs
+++ b/crates/replication/src/reconfiguration.rs
@@ -11,11 +11,6 @@
 
 /// How long a node has to have answered before it is let in.
 const STEADY: Duration = Duration::from_millis(300);
-/// A witness that was silent for so long is replaced when another node comes in.
-const REPLACE_WITNESS_AFTER: Duration = Duration::from_secs(2);
-/// A witness that was silent for so long is removed if the set has an even size.
-const REMOVE_WITNESS_AFTER: Duration = Duration::from_secs(3);
-
 impl Plan {
     /// Whether the witness that comes in has the state.
     pub(crate) fn fits(&self, synced: &BTreeSet<NodeId>) -> bool {
@@ -53,6 +48,7 @@
             before.iter().copied().filter(|node| !self.is_lost(*node)).collect();
         let ready: Vec<NodeId> = self.joiners().into_iter().filter(|node| self.is_ready(*node)).collect();
         after.extend(&ready);
+        self.keep_leaving(&before, &mut after);
         if after.len() <= self.options.tolerated_machines {
             after.extend(before);
         }
@@ -60,6 +56,19 @@
         Plan { members: after, witnesses, incoming }
     }
 
+    /// Keeps as many of the members that are about to end as are needed beside the others. They end later.
+    fn keep_leaving(&self, before: &BTreeSet<NodeId>, after: &mut BTreeSet<NodeId>) {
+        let is_there = |node: &&NodeId| {
+            let answers = self.peers.get(**node).is_some_and(|peer| peer.is_answering(self.now));
+            answers && self.peers.is_leaving(self.now, **node)
+        };
+        let missing = (self.options.tolerated_machines + 1).saturating_sub(after.len());
+        let kept: Vec<NodeId> = before.iter().filter(is_there).take(missing).copied().collect();
+        if kept.len() == missing {
+            after.extend(kept);
+        }
+    }
+
     /// Whether a member does not do its part any more.
     fn is_lost(&self, node: NodeId) -> bool {
         let Some(leadership) = &self.leadership else { return false };
@@ -74,7 +83,8 @@
             || progress.is_some_and(|progress| progress.is_stuck(self.now, drop_after))
     }
 
-    fn silent_for(&self, node: NodeId, start: Duration) -> Duration {
+    /// For how long nothing was heard of a node since a time.
+    pub(crate) fn silent_for(&self, node: NodeId, start: Duration) -> Duration {
         match self.peers.get(node) {
             Some(peer) => peer.silent_for(self.now, start),
             None => self.now.saturating_sub(start),
@@ -109,47 +119,4 @@
         };
         plan.members.iter().chain(&plan.witnesses).any(refuses)
     }
-
-    /// The next set of witnesses, with at most one in or out, and the one that comes in.
-    fn next_witnesses(&self, members: &BTreeSet<NodeId>) -> (Vec<NodeId>, Option<NodeId>) {
-        let Some(leadership) = &self.leadership else { return (Vec::new(), None) };
-        let mut witnesses = leadership.view.witnesses.clone();
-        let may_come_in = |node: &NodeId| {
-            let answers = self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now));
-            !witnesses.contains(node) && (answers || *node == self.options.me)
-        };
-        let incoming = members.iter().copied().find(may_come_in);
-        if let Some(node) = incoming {
-            let successor_of = witnesses.iter().position(|other| other.ip == node.ip);
-            if let Some(index) = successor_of.or_else(|| self.unreachable(&witnesses, REPLACE_WITNESS_AFTER))
-            {
-                witnesses[index] = node;
-                return (witnesses, incoming);
-            }
-            // A larger set needs a larger majority: only while all are there, or one of them is about to be replaced.
-            if self.unreachable(&witnesses, self.options.drop_after).is_some() {
-                return (witnesses, None);
-            }
-            witnesses.push(node);
-        } else if witnesses.len() % 2 == 0 {
-            if let Some(index) = self.unreachable(&witnesses, REMOVE_WITNESS_AFTER) {
-                witnesses.remove(index);
-            }
-        }
-        (witnesses, incoming)
-    }
-
-    fn unreachable(&self, witnesses: &[NodeId], time: Duration) -> Option<usize> {
-        let leadership = self.leadership.as_ref()?;
-        let me = self.options.me;
-        witnesses.iter().position(|node| *node != me && self.silent_for(*node, leadership.elected_at) > time)
-    }
-
-    /// Whether a node answers that is to become a witness.
-    pub(crate) fn awaits_witness(&self) -> bool {
-        let Some(leadership) = &self.leadership else { return false };
-        let is_new = |node: &NodeId| !leadership.view.witnesses.contains(node);
-        let answers = |node: &NodeId| self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now));
-        self.peers.connected().iter().any(|node| is_new(node) && answers(node))
-    }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -7,9 +7,11 @@
 
 use crate::disk::{Disk, Effect};
 use crate::event::{Action, Event, Role};
+use crate::leaving::Leaving;
 use crate::log::Log;
 use crate::options::{Options, Recovered, StartError};
 use crate::peers::Peers;
+use crate::place::Place;
 use crate::primary::Leadership;
 use crate::progress::Replicator;
 use crate::quorum::{bootstrap_view, electors, members, BOOTSTRAP_EPOCH};
@@ -32,6 +34,8 @@
 #[derive(Clone, Debug)]
 pub struct Replica<S> {
     pub(crate) options: Options,
+    /// Where this node stands.
+    pub(crate) place: Place,
     pub(crate) state: S,
     pub(crate) log: Log,
     /// The last entry that the state has.
@@ -50,6 +54,7 @@
     /// When this node stands for election if it hears of no primary.
     pub(crate) election_at: Duration,
     pub(crate) stopped: bool,
+    pub(crate) leaving: Leaving,
     pub(crate) random: fastrand::Rng,
     pub(crate) now: Duration,
     pub(crate) actions: Vec<Action>,
@@ -84,7 +89,9 @@
         let lease_end = now + options.lease;
         let witness = Witness::new(record, lease_end, options.faults.promise_under_lease);
         let random = fastrand::Rng::with_seed(options.seed);
+        let place = Place { zone: options.zone.clone(), region: options.region.clone() };
         let mut replica = Replica {
+            place,
             state,
             log,
             applied: base,
@@ -99,6 +106,7 @@
             primary_heard: None,
             election_at: now,
             stopped: false,
+            leaving: Leaving::default(),
             random,
             now,
             actions: Vec::new(),
@@ -120,6 +128,7 @@
         self.now = self.now.max(now);
         match event {
             Event::Message { from, body } => self.receive(from, body),
+            Event::Located { node, place } => self.peers.get_mut(node).place = Some(place),
             Event::Connected(node) => self.on_connected(node),
             Event::Disconnected(node) => self.peers.disconnect(node),
             Event::Stored { ticket, result: Ok(()) } => {
@@ -237,6 +246,7 @@
 
     fn tick(&mut self) {
         self.heal_disk();
+        self.tick_leaving();
         self.check_election();
         self.tick_view_change();
         self.tick_leadership();
@@ -267,7 +277,7 @@
         }
     }
 
-    /// Refuses a message for the log, or announces that this node is leaving.
+    /// Refuses a message for the log.
     pub(crate) fn decline(&mut self, to: NodeId, epoch: u64) {
         let decline = Decline { epoch, promised: self.witness.promised(), leaving: self.stopped };
         self.send(to, Body::Decline(Box::new(decline)));
--- a/crates/replication/src/voter.rs
+++ b/crates/replication/src/voter.rs
@@ -102,6 +102,7 @@
             self.witness.grant_lease(from, epoch, self.now + self.options.lease);
             self.follow_primary(from, epoch, leased);
             self.witness.learn(&view);
+            self.note_view_in_force(epoch, &view);
             if self.disk.is_healthy() {
                 self.disk.write_record(self.witness.record());
             }
