--- a/crates/quillpulley/src/control/api.rs
+++ b/crates/quillpulley/src/control/api.rs
@@ -29,6 +29,8 @@
     Order(Order),
     /// Asks for the newest configuration.
     ReadConfiguration,
+    /// Asks this process what it knows of the core.
+    ReadStatus,
 }
 
 /// A call with what answers it.
@@ -124,6 +126,7 @@
             parse_replace(request)
         }
         ("Config.Get", "") => expect_method(&method, Method::Get).map(|()| Call::ReadConfiguration),
+        ("Control.Status", "") => expect_method(&method, Method::Get).map(|()| Call::ReadStatus),
         ("Evacuate.Start", zone) => {
             expect_method(&method, Method::Post).and_then(|()| parse_evacuation(zone, true))
         }
@@ -190,7 +193,7 @@
 fn render(url: &str, answer: Answer) -> JsonAnswer {
     match answer {
         Answer::Done => JsonAnswer::new(200, b"{}".to_vec()),
-        Answer::Configuration(body) => JsonAnswer::new(200, body),
+        Answer::Configuration(body) | Answer::Status(body) => JsonAnswer::new(200, body),
         Answer::NoConfiguration => refusal(404, "no configuration has been taken yet"),
         Answer::Conflict { current } => {
             refusal(412, &format!("version {current} is in place: read it and build on it"))
--- a/crates/quillpulley/src/control/host.rs
+++ b/crates/quillpulley/src/control/host.rs
@@ -14,6 +14,7 @@
 use super::platform::Reading;
 use super::reader::{ListReader, Outcome, ReaderOptions};
 use super::relay::Relay;
+use super::status;
 use crate::peer::{LinkId, Peers};
 use crate::Settings;
 use quillpulley_configuration::ControlState;
@@ -156,6 +157,7 @@
         let now = self.clock.now();
         self.update_leadership(now);
         match (&self.leadership, call.call) {
+            (_, Call::ReadStatus) => call.reply.send(Answer::Status(status::describe(self, now))),
             (None, _) => call.reply.send(self.elsewhere(now)),
             (Some(_), Call::Order(order)) => self.orders.push(now, order, call.reply),
             (Some(_), Call::ReadConfiguration) => call.reply.send(self.configuration()),
@@ -215,6 +217,16 @@
         self.settle();
     }
 
+    /// Whether a process that was told to stop may end: its data stands elsewhere.
+    pub fn may_end(&self) -> bool {
+        self.replica.may_end()
+    }
+
+    /// How long after it was told to end the process is killed.
+    pub fn grace(&self) -> Duration {
+        self.settings.bounds.grace
+    }
+
     /// Reads the seeds in the settings file anew.
     pub fn read_seeds(&mut self) {
         match Settings::from_environment() {
--- a/crates/quillpulley/src/control/links.rs
+++ b/crates/quillpulley/src/control/links.rs
@@ -6,7 +6,7 @@
 use crate::peer::{LinkId, PeerEvent};
 use quillpulley_configuration::published::PublishedKey;
 use quillpulley_feed as feed;
-use quillpulley_replication::Event;
+use quillpulley_replication::{Event, Place};
 use quillpulley_wire::{Body, Cores, Hello, NodeId, PeerKind};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -40,12 +40,14 @@
     }
 
     fn opened(&mut self, link: LinkId, hello: Hello) {
+        let place = Place { zone: hello.zone.clone(), region: hello.region.clone() };
         let Some(PeerChange::Connected(node)) = self.peer_table.opened(link, hello) else {
             return self.peers.close(link);
         };
         log::debug!("connected to {node}");
         self.dirty.cores = true;
         self.tell_cores(Some(link));
+        self.replicate(Event::Located { node, place });
         self.replicate(Event::Connected(node));
     }
 
--- a/crates/quillpulley/src/control/mod.rs
+++ b/crates/quillpulley/src/control/mod.rs
@@ -22,6 +22,7 @@
 pub mod reader;
 pub mod relay;
 pub mod servers;
+mod status;
 
 use crate::{HostError, Settings};
 
--- a/crates/quillpulley/src/control/orders.rs
+++ b/crates/quillpulley/src/control/orders.rs
@@ -59,6 +59,8 @@
     Done,
     /// The newest configuration, as it was sent.
     Configuration(Vec<u8>),
+    /// What this process knows of the core.
+    Status(Vec<u8>),
     /// There is no configuration yet.
     NoConfiguration,
     /// Another version is in place.
--- a/crates/quillpulley/src/control/process.rs
+++ b/crates/quillpulley/src/control/process.rs
@@ -19,8 +19,10 @@
 
 /// How often the host is told that time has passed.
 const TICK: Duration = Duration::from_millis(50);
-/// How long a process that was told to end still takes events, to hand over and to send what waits.
+/// How long a process that was told to end still takes events at least, to hand over and to send what waits.
 const LINGER: Duration = Duration::from_millis(400);
+/// How long before its grace is over a process ends, even if nobody else has its data.
+const END_MARGIN: Duration = Duration::from_secs(1);
 /// The exit code after a panic.
 const PANICKED: i32 = 101;
 /// Calls of the operator that may wait for the main thread.
@@ -93,20 +95,34 @@
     Ok((Host::new(settings, parts), sources))
 }
 
+/// When a process that was told to end does so: between these times, as soon as it may.
+#[derive(Clone, Copy)]
+struct End {
+    earliest: Instant,
+    latest: Instant,
+}
+
+impl End {
+    fn is_due(self, host: &Host) -> bool {
+        let now = Instant::now();
+        now >= self.latest || now >= self.earliest && host.may_end()
+    }
+}
+
 async fn serve(mut host: Host, mut sources: Sources) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut end: Option<Instant> = None;
-    loop {
-        let ended = async {
+    let mut end: Option<End> = None;
+    while !end.is_some_and(|end| end.is_due(&host)) {
+        let lingered = async {
             match end {
-                Some(end) => sleep_until(end).await,
-                None => std::future::pending().await,
+                Some(End { earliest, .. }) if Instant::now() < earliest => sleep_until(earliest).await,
+                _ => std::future::pending().await,
             }
         };
         tokio::select! {
             biased;
-            () = ended => return,
+            () = lingered => {}
             Some(command) = sources.commands.recv() => match command {
                 Command::Stop if end.is_none() => end = Some(stop(&mut host)),
                 Command::Stop => {}
@@ -123,10 +139,11 @@
     }
 }
 
-fn stop(host: &mut Host) -> Instant {
+fn stop(host: &mut Host) -> End {
     log::info!("told to end");
     host.stop();
-    Instant::now() + LINGER
+    let now = Instant::now();
+    End { earliest: now + LINGER, latest: now + host.grace().saturating_sub(END_MARGIN).max(LINGER) }
 }
 
 fn open_disk(settings: &Settings, report: UnboundedSender<Report>) -> Result<(Disk, Recovered), HostError> {
@@ -169,8 +186,11 @@
     Options {
         me,
         zone: settings.zone.clone(),
+        region: settings.region.clone(),
         bootstrap: Some(founders).filter(|founders| founders.contains(&me)),
         tolerated_machines: settings.fault_tolerance.machines as usize,
+        tolerated_zones: settings.fault_tolerance.zones as usize,
+        tolerated_regions: settings.fault_tolerance.regions as usize,
         seed: fastrand::u64(..),
         ..Options::default()
     }
--- a/crates/replication/src/cover.rs
+++ b/crates/replication/src/cover.rs
@@ -16,9 +16,11 @@
 /// How long a primary waits, after it took over, for nodes that could become witnesses, before it acknowledges
 /// orders with fewer witnesses than the tolerated losses need.
 const WITNESS_PATIENCE: Duration = Duration::from_secs(3);
-/// How long orders wait, once the members or witnesses of the view stand in too few places, for nodes elsewhere that
+/// How long orders wait, while the members or witnesses of the view stand in too few places, for nodes elsewhere that
 /// are connected and could come in.
 const PLACE_PATIENCE: Duration = Duration::from_millis(1500);
+/// How long after such a wait orders do not wait again, if nobody came in.
+const WAIT_AGAIN_AFTER: Duration = Duration::from_secs(10);
 
 /// The tolerated losses that a view does not survive.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -43,8 +45,8 @@
 /// What a primary knows of the exposure of its view.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CoverState {
-    /// Since when the view does not survive a loss of places.
-    exposed_since: Option<Duration>,
+    /// When orders began to wait for nodes elsewhere.
+    awaited_since: Option<Duration>,
     /// What was logged last.
     told: ViewExposure,
 }
@@ -101,10 +103,15 @@
     /// Whether nodes are about to come in that make the view survive more losses of places, and had no time yet.
     fn awaits_place(&self, exposure: ViewExposure) -> bool {
         let Some(leadership) = &self.leadership else { return false };
-        let since = leadership.cover.exposed_since.unwrap_or(self.now);
-        if !exposure.is_by_place() || self.now > since + PLACE_PATIENCE {
+        let since = leadership.cover.awaited_since.unwrap_or(self.now);
+        self.now <= since + PLACE_PATIENCE && self.could_be_covered(exposure)
+    }
+
+    /// Whether the view would survive more losses of places with nodes that are connected.
+    fn could_be_covered(&self, exposure: ViewExposure) -> bool {
+        let Some(leadership) = self.leadership.as_ref().filter(|_| exposure.is_by_place()) else {
             return false;
-        }
+        };
         let present = members(&leadership.view);
         let mut with_joiners = present.clone();
         with_joiners.extend(self.answering_nodes().into_iter().filter(|node| !present.contains(node)));
@@ -124,15 +131,20 @@
         nodes
     }
 
-    /// Notes since when the view survives fewer losses than it should, and logs once when orders are acknowledged
-    /// in that state, and once when it is over.
+    /// Notes since when orders wait for nodes elsewhere, and logs once when they are acknowledged without, and once
+    /// when that is over.
     pub(crate) fn check_cover(&mut self) {
         let Some(leadership) = &self.leadership else { return };
         let exposure = self.exposure_of(&leadership.view);
-        let since = exposure.is_by_place().then(|| leadership.cover.exposed_since.unwrap_or(self.now));
         let told = leadership.cover.told;
+        let is_over = |since: &Duration| self.now > *since + PLACE_PATIENCE + WAIT_AGAIN_AFTER;
+        let mut since =
+            leadership.cover.awaited_since.filter(|since| exposure.is_by_place() && !is_over(since));
+        if since.is_none() && self.could_be_covered(exposure) {
+            since = Some(self.now);
+        }
         if let Some(leadership) = &mut self.leadership {
-            leadership.cover.exposed_since = since;
+            leadership.cover.awaited_since = since;
         }
         let is_settled = exposure.is_none() || self.may_acknowledge() || exposure.members.machines;
         if exposure == told || !is_settled {
--- a/crates/replication/src/leaving.rs
+++ b/crates/replication/src/leaving.rs
@@ -3,7 +3,7 @@
 use quillpulley_wire::{Body, Decline, NodeId, View};
 use std::time::Duration;
 
-use crate::quorum::{is_member, members};
+use crate::quorum::members;
 use crate::replica::Replica;
 use crate::StateMachine;
 
@@ -14,8 +14,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Leaving {
     announce_at: Duration,
-    /// The newest view in force that this node has heard of from its primary, if the node is no member of it and
-    /// its members are enough without it.
+    /// The newest view in force that this node has heard of from its primary, if that can do without the node.
     left_out_of: Option<u64>,
 }
 
@@ -53,17 +52,26 @@
 
     /// A primary has told of its view, which is in force, under an epoch that this node has admitted.
     pub(crate) fn note_view_in_force(&mut self, epoch: u64, view: &View) {
-        let is_left_out = !is_member(view, self.options.me);
-        let is_enough = members(view).len() > self.options.tolerated_machines;
         // Under a higher epoch than its own the primary prepares another view, which may name this node.
         let is_settled = epoch == view.epoch;
-        self.leaving.left_out_of = (is_settled && is_left_out && is_enough).then_some(view.epoch);
+        self.leaving.left_out_of = (is_settled && self.is_dispensable(view)).then_some(view.epoch);
+    }
+
+    /// Whether a view has enough members without this node, and keeps its majority of witnesses after its end as
+    /// well as it can: it is no witness, or nobody is to take its place and the set does not get smaller either.
+    fn is_dispensable(&self, view: &View) -> bool {
+        let me = self.options.me;
+        let members = members(view);
+        let is_settled =
+            view.witnesses.len() % 2 == 1 && members.iter().all(|node| view.witnesses.contains(node));
+        let is_spare_witness = !view.witnesses.contains(&me) || is_settled;
+        !members.contains(&me) && members.len() > self.options.tolerated_machines && is_spare_witness
     }
 
     /// Whether a process that was told to stop may end: its data stands elsewhere. Until then it should go on, for as
     /// long as it is given.
     ///
-    /// That is so if a view without it is in force, and it has admitted no epoch since: whoever made it a member
+    /// That is so if a view that can do without it is in force, and it has admitted no epoch since: whoever made it a member
     /// again would have brought it to a higher epoch first. It is also so if it has never admitted any. If nobody
     /// could take the data, since all others are told to stop too or there are none, waiting would only keep the
     /// next start away.
--- a/crates/replication/tests/replication/harness/faults.rs
+++ b/crates/replication/tests/replication/harness/faults.rs
@@ -62,9 +62,12 @@
         let now = self.now;
         let options = Options {
             me: self.machines[machine].id,
-            zone: self.machines[machine].name.clone(),
+            zone: self.place_of(machine).zone,
+            region: self.place_of(machine).region,
             bootstrap: self.machines[machine].bootstrap.clone(),
             tolerated_machines: self.options.tolerated,
+            tolerated_zones: self.options.tolerated_zones,
+            tolerated_regions: self.options.tolerated_regions,
             seed: self.random.u64(..),
             compact_entries: self.options.compact_entries,
             compact_bytes: COMPACT_BYTES,
--- a/crates/replication/tests/replication/harness/inspect.rs
+++ b/crates/replication/tests/replication/harness/inspect.rs
@@ -1,6 +1,6 @@
 //! What can be seen of the world, and the invariants that are checked as it runs.
 
-use quillpulley_replication::{Replica, Role};
+use quillpulley_replication::{Place, Replica, Role, ViewExposure};
 use quillpulley_wire::{NodeId, View};
 use std::time::Duration;
 
@@ -53,6 +53,22 @@
         self.proposed.iter().filter(is_open).map(|(order, ..)| *order).collect()
     }
 
+    /// Where a machine stands.
+    pub fn place_of(&self, machine: usize) -> Place {
+        let (zone, region) = self.options.places.get(machine).copied().unwrap_or_default();
+        Place { zone: zone.into(), region: region.into() }
+    }
+
+    /// The tolerated losses that the view of the leader does not survive.
+    pub fn exposure(&self) -> Option<ViewExposure> {
+        self.leader().and_then(|leader| self.machines[leader].replica.as_ref()).and_then(Replica::exposure)
+    }
+
+    /// Whether a process that was told to stop may end.
+    pub fn may_end(&self, machine: usize) -> bool {
+        self.machines[machine].replica.as_ref().is_some_and(Replica::may_end)
+    }
+
     pub fn is_running(&self, machine: usize) -> bool {
         self.machines[machine].replica.is_some()
     }
--- a/crates/replication/tests/replication/harness/world.rs
+++ b/crates/replication/tests/replication/harness/world.rs
@@ -24,6 +24,10 @@
 pub struct WorldOptions {
     pub seed: u64,
     pub tolerated: usize,
+    pub tolerated_zones: usize,
+    pub tolerated_regions: usize,
+    /// The zone and the region of each machine, by its number; those beyond stand in none.
+    pub places: Vec<(&'static str, &'static str)>,
     pub network: NetworkOptions,
     pub faults: Faults,
     pub compact_entries: usize,
@@ -37,6 +41,9 @@
         WorldOptions {
             seed: 1,
             tolerated: 1,
+            tolerated_zones: 0,
+            tolerated_regions: 0,
+            places: Vec::new(),
             network,
             faults: Faults::default(),
             compact_entries: 8,
@@ -203,6 +210,8 @@
         if let Some(gone) = before {
             self.handle(machine, Event::Disconnected(gone));
         }
+        let place = self.place_of(other);
+        self.handle(machine, Event::Located { node: id, place });
         self.handle(machine, Event::Connected(id));
     }
 
--- a/crates/replication/tests/replication/scenarios/mod.rs
+++ b/crates/replication/tests/replication/scenarios/mod.rs
@@ -1,8 +1,11 @@
 //! Troubles one by one, as timelines. Every one is played with several seeds.
 
+mod leaving;
 mod lost_machines;
 mod partitions_and_disks;
+mod places;
 mod restarts;
+mod second_loss;
 
 use crate::harness::timeline::play;
 use crate::harness::{World, WorldOptions};
--- /dev/null
+++ b/crates/replication/tests/replication/scenarios/places.rs
@@ -0,0 +1,196 @@
+//! Zones and regions: which losses a view survives, and what is done while its members stand in too few places.
+
+use quickcheck::{quickcheck, TestResult};
+use quillpulley_replication::{Event, Options, Place, Recovered, Replica};
+use quillpulley_wire::{NodeId, View, WitnessRecord};
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use super::SEEDS;
+use crate::harness::ledger::Ledger;
+use crate::harness::{DiskMode, World, WorldOptions};
+
+/// Within which an order has to be acknowledged (`AckMs`).
+const ACKNOWLEDGED_WITHIN_MS: u64 = 5000;
+
+const A: (&str, &str) = ("zone-a", "east");
+const A2: (&str, &str) = ("zone-a2", "east");
+const B: (&str, &str) = ("zone-b", "west");
+const C: (&str, &str) = ("zone-c", "north");
+
+/// Machines at those places, of which one, or one zone, or one region may be lost.
+fn world(seed: u64, places: &[(&'static str, &'static str)]) -> World {
+    let options = WorldOptions {
+        seed,
+        tolerated_zones: 1,
+        tolerated_regions: 1,
+        places: places.to_vec(),
+        ..WorldOptions::default()
+    };
+    let mut world = World::first_start(options, places.len(), 3);
+    let is_whole = |world: &World| world.members().len() == places.len();
+    assert!(world.run_until(6000, is_whole), "{}", world.trace.join("\n"));
+    world.run_for(2000 + seed * 37 % 150);
+    world
+}
+
+fn acknowledged(world: &mut World, within: u64) -> bool {
+    let Some(leader) = world.leader() else { return false };
+    let order = world.propose(leader);
+    world.run_until(within, |world| world.is_acknowledged(order))
+}
+
+fn serves_again(world: &mut World) {
+    let is_led = world.run_until(4000, |world| world.leader().is_some());
+    assert!(is_led, "no one leads\n{}", world.trace.join("\n"));
+    assert!(acknowledged(world, 3000), "{}", world.trace.join("\n"));
+}
+
+#[test]
+fn an_order_waits_for_a_node_elsewhere_that_is_about_to_come_in() {
+    for seed in 0..SEEDS {
+        let mut world = world(seed, &[A, A2, B]);
+        world.kill(2, false);
+        world.run_for(2500);
+        let exposure = world.exposure().expect("a view");
+        assert!(exposure.members.regions && !exposure.members.zones && !exposure.members.machines);
+        assert!(acknowledged(&mut world, 200), "nobody elsewhere could come in: degraded");
+
+        world.start(2);
+        let leader = world.leader().expect("a primary");
+        let id = world.machines[2].id;
+        let knows = |world: &World| {
+            let replica = world.machines[leader].replica.as_ref();
+            replica.is_some_and(|replica| replica.place_of(id).is_some()) && world.is_running(2)
+        };
+        assert!(world.run_until(1000, knows));
+        world.run_for(250);
+        assert!(!world.members().contains(&2), "it is not let in yet");
+        let order = world.propose(leader);
+        assert!(world.run_until(ACKNOWLEDGED_WITHIN_MS, |world| world.is_acknowledged(order)));
+        assert!(world.members().contains(&2), "acknowledged in one region only\n{}", world.trace.join("\n"));
+        assert!(world.exposure().is_some_and(|exposure| exposure.members.is_none()));
+    }
+}
+
+#[test]
+fn an_order_does_not_wait_for_long_for_a_node_that_cannot_come_in() {
+    for seed in 0..SEEDS {
+        let mut world = world(seed, &[A, A2, B]);
+        world.set_disk(2, DiskMode::Full);
+        acknowledged(&mut world, 500);
+        world.run_for(3000);
+        for _ in 0..8 {
+            assert!(acknowledged(&mut world, ACKNOWLEDGED_WITHIN_MS - 2000), "{}", world.trace.join("\n"));
+            world.run_for(130);
+        }
+    }
+}
+
+#[test]
+fn a_core_in_one_region_goes_on_in_a_degraded_state() {
+    for seed in 0..SEEDS {
+        let mut world = world(seed, &[A, A, A]);
+        assert!(acknowledged(&mut world, 200));
+        let exposure = world.exposure().expect("a view");
+        assert!(exposure.members.zones && exposure.members.regions && !exposure.members.machines);
+        assert!(exposure.witnesses.zones && exposure.witnesses.regions);
+    }
+}
+
+#[test]
+fn a_region_with_two_of_four_machines_may_be_lost() {
+    for seed in 0..SEEDS {
+        let mut world = world(seed, &[A, B, C, A2]);
+        assert!(world.exposure().is_some_and(|exposure| exposure.is_none()), "{}", world.trace.join("\n"));
+        assert!(acknowledged(&mut world, 500));
+        world.remove(0);
+        world.remove(3);
+        serves_again(&mut world);
+    }
+}
+
+#[test]
+fn witnesses_are_spread_over_regions_as_machines_come() {
+    for seed in 0..SEEDS {
+        let mut world = world(seed, &[A, A2, B, C]);
+        assert!(world.exposure().is_some_and(|exposure| exposure.is_none()), "{}", world.trace.join("\n"));
+        assert!(acknowledged(&mut world, 500));
+        world.kill(0, true);
+        world.kill(1, true);
+        world.wipe(0);
+        world.wipe(1);
+        serves_again(&mut world);
+    }
+}
+
+/// What a replica says of a view whose nodes stand at these places, as (machines, zones, regions) of the members
+/// and of the witnesses.
+fn exposure_of(places: &[(u8, u8)], tolerated: (usize, usize, usize)) -> [[bool; 3]; 2] {
+    let nodes: Vec<NodeId> =
+        (0..places.len()).map(|index| NodeId::new(Ipv4Addr::new(10, 0, 0, 1 + index as u8), 0)).collect();
+    let view = View {
+        epoch: 5,
+        primary: nodes[0],
+        backups: nodes[1..].to_vec(),
+        witnesses: nodes.clone(),
+        previous_witnesses: nodes.clone(),
+        activated: true,
+    };
+    let record =
+        WitnessRecord { incarnation: 0, promised: 5, promised_to: nodes[0], accepted: Some(Box::new(view)) };
+    let options = Options {
+        me: nodes[0],
+        zone: format!("zone-{}", places[0].0),
+        region: format!("region-{}", places[0].1),
+        tolerated_machines: tolerated.0,
+        tolerated_zones: tolerated.1,
+        tolerated_regions: tolerated.2,
+        ..Options::default()
+    };
+    let recovered = Recovered { record: Some(record), ..Recovered::default() };
+    let mut replica = Replica::new(options, recovered, Ledger::default(), Duration::ZERO).expect("a replica");
+    for (node, (zone, region)) in nodes.iter().zip(places) {
+        let place = Place { zone: format!("zone-{zone}"), region: format!("region-{region}") };
+        replica.handle(Duration::ZERO, Event::Located { node: *node, place }, &mut Vec::new());
+    }
+    let exposure = replica.exposure().expect("a view");
+    [exposure.members, exposure.witnesses].map(|exposed| [exposed.machines, exposed.zones, exposed.regions])
+}
+
+/// Whether after the loss of some `count` of the groups fewer than `needed` nodes are left, tried one by one.
+fn some_loss_leaves_fewer(groups: &[u8], count: usize, needed: usize) -> bool {
+    let names: Vec<u8> = groups.iter().copied().collect::<BTreeSet<u8>>().into_iter().collect();
+    (0..1_u32 << names.len()).any(|lost| {
+        let is_lost =
+            |group: &u8| names.iter().position(|name| name == group).is_some_and(|at| lost >> at & 1 == 1);
+        let left = groups.iter().filter(|group| !is_lost(group)).count();
+        count > 0 && lost.count_ones() as usize <= count && left < needed
+    })
+}
+
+#[test]
+fn the_losses_that_a_view_does_not_survive_are_those_found_by_trying() {
+    fn holds(places: Vec<(u8, u8)>, machines: u8, zones: u8, regions: u8) -> TestResult {
+        if places.is_empty() {
+            return TestResult::discard();
+        }
+        let places: Vec<(u8, u8)> =
+            places.iter().take(7).map(|(zone, region)| (zone % 5, region % 3)).collect();
+        let tolerated = (usize::from(machines % 4), usize::from(zones % 3), usize::from(regions % 3));
+        let nodes: Vec<u8> = (0..places.len() as u8).collect();
+        let zones: Vec<u8> = places.iter().map(|place| place.0).collect();
+        let regions: Vec<u8> = places.iter().map(|place| place.1).collect();
+        let expected = [1, places.len() / 2 + 1].map(|needed| {
+            let machines = nodes.len() < needed || some_loss_leaves_fewer(&nodes, tolerated.0, needed);
+            [
+                machines,
+                some_loss_leaves_fewer(&zones, tolerated.1, needed),
+                some_loss_leaves_fewer(&regions, tolerated.2, needed),
+            ]
+        });
+        TestResult::from_bool(exposure_of(&places, tolerated) == expected)
+    }
+    quickcheck(holds as fn(Vec<(u8, u8)>, u8, u8, u8) -> TestResult);
+}
--- /dev/null
+++ b/crates/replication/tests/replication/scenarios/second_loss.rs
@@ -0,0 +1,157 @@
+//! A second loss right after a repair or a replacement, and at every step of one.
+
+use super::{three_and_a_spare, Settled, SEEDS};
+use crate::harness::World;
+
+/// Stops a machine, and takes it away for good as soon as it may end.
+fn retire(world: &mut World, machine: usize) {
+    world.stop(machine);
+    let may_end = world.run_until(3000, |world| world.may_end(machine));
+    assert!(may_end, "{} never may end\n{}", world.machines[machine].name, world.trace.join("\n"));
+    world.remove(machine);
+}
+
+fn serves_again(world: &mut World) {
+    let is_led = world.run_until(4000, |world| world.leader().is_some());
+    assert!(is_led, "no one leads\n{}", world.trace.join("\n"));
+    // Whoever led when the loss came may not know of it yet.
+    let is_taken = (0..4).any(|_| {
+        let Some(leader) = world.leader() else {
+            world.run_for(1000);
+            return false;
+        };
+        let order = world.propose(leader);
+        world.run_until(1500, |world| world.is_acknowledged(order))
+    });
+    assert!(is_taken, "orders are not taken again\n{}", world.trace.join("\n"));
+}
+
+/// Three machines and a fourth that has come in as member and witness.
+fn with_a_fourth(seed: u64) -> Settled<3> {
+    let mut settled = Settled::new(seed, 1, ["P", "B", "C"]);
+    settled.names.push(("S", settled.world.add_spare()));
+    let is_in = |world: &World| world.members().len() == 4 && world.witnesses().len() == 4;
+    assert!(settled.world.run_until(4000, is_in), "{}", settled.world.trace.join("\n"));
+    settled.world.run_for(300 + seed * 37 % 150);
+    settled
+}
+
+#[test]
+fn after_a_planned_replacement_the_next_loss_may_come_at_once() {
+    for seed in 0..SEEDS {
+        for retired in 0..3 {
+            for lost in (0..4).filter(|lost| *lost != retired) {
+                let mut settled = with_a_fourth(seed);
+                let (retired, lost) = (settled.names[retired].1, settled.names[lost].1);
+                let world = &mut settled.world;
+                let leader = world.leader().expect("a primary");
+                let order = world.propose(leader);
+                assert!(world.run_until(500, |world| world.is_acknowledged(order)));
+                retire(world, retired);
+                world.remove(lost);
+                serves_again(world);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_lost_witness_is_replaced_within_two_seconds_by_a_machine_that_comes_at_once() {
+    three_and_a_spare(
+        "time | P | B     | C     | S      | *
+            0 |   |       | power |        |
+         1800 |   |       |       | member witness | order=1
+         1900 |   | power |       |        | acked=1
+         5000 |   |       |       |        | order=2
+         5500 |   |       |       |        | acked=2",
+    );
+}
+
+#[test]
+fn a_silent_witness_leaves_a_set_of_four_before_the_next_is_lost() {
+    for seed in 0..SEEDS {
+        with_a_fourth(seed).play(
+            "time | P | B     | C     | S | *
+                0 |   |       | power |   |
+             1500 |   |       | no-witness |  | order=1
+             1700 |   | power |       |   | acked=1
+             5500 |   |       |       |   | order=2
+             6000 |   |       |       |   | acked=2",
+        );
+    }
+}
+
+/// What happens at some moment of a change, to whom, and what has to hold afterwards.
+fn strike_while_a_node_comes_in(strike: impl Fn(&mut World, usize, usize)) {
+    for delay in (0..1500).step_by(25) {
+        let mut settled = Settled::new(delay, 1, ["P", "B", "C"]);
+        settled.names.push(("S", settled.world.add_spare()));
+        let (backup, spare) = (settled.names[1].1, settled.names[3].1);
+        let world = &mut settled.world;
+        let leader = world.leader().expect("a primary");
+        let order = world.propose(leader);
+        world.run_for(delay);
+        strike(world, backup, spare);
+        world.run_for(1500);
+        serves_again(world);
+        assert!(world.is_acknowledged(order) || delay < 100, "{}", world.trace.join("\n"));
+        world.calm();
+        let is_whole = |world: &World| world.members().len() == world.present().len();
+        assert!(world.run_until(6000, is_whole), "{}", world.trace.join("\n"));
+        serves_again(world);
+    }
+}
+
+#[test]
+fn a_backup_loses_its_disk_at_any_moment_of_letting_a_node_in() {
+    strike_while_a_node_comes_in(|world, backup, _| {
+        world.kill(backup, true);
+        world.wipe(backup);
+    });
+}
+
+#[test]
+fn a_backup_is_gone_for_good_at_any_moment_of_letting_a_node_in() {
+    strike_while_a_node_comes_in(|world, backup, _| world.remove(backup));
+}
+
+#[test]
+fn the_node_that_comes_in_loses_its_disk_at_any_moment() {
+    strike_while_a_node_comes_in(|world, _, spare| {
+        world.kill(spare, true);
+        world.wipe(spare);
+    });
+}
+
+#[test]
+fn the_primary_loses_its_disk_at_any_moment_of_letting_a_node_in() {
+    strike_while_a_node_comes_in(|world, _, _| {
+        let Some(leader) = world.leader() else { return };
+        world.kill(leader, true);
+        world.wipe(leader);
+    });
+}
+
+#[test]
+fn another_loss_at_any_moment_after_a_member_is_told_to_end() {
+    for delay in (0..900).step_by(15) {
+        for lost in [0, 1, 3] {
+            let mut settled = with_a_fourth(delay);
+            let (leaving, lost) = (settled.names[2].1, settled.names[lost].1);
+            let world = &mut settled.world;
+            world.stop(leaving);
+            let end = world.now + delay;
+            if world.run_until(delay, |world| world.may_end(leaving)) {
+                world.remove(leaving);
+                world.run_for(end.saturating_sub(world.now));
+            }
+            world.remove(lost);
+            if world.is_running(leaving) {
+                let may_end = world.run_until(7000, |world| world.may_end(leaving));
+                assert!(may_end, "{}", world.trace.join("\n"));
+                world.remove(leaving);
+            }
+            serves_again(world);
+        }
+    }
+}
