Let every answer about what is in force end with the lease under which it was decided

Cause: reads and refusals (configuration, 404, 412, 400, 307) and acknowledgements went to the threads that write them after the main thread had looked at the lease. A process that stood still between the two wrote an answer from the past when it woke.

Change: answers carry the end of the lease (or, a redirect, of the time in which the other's lease was heard), and the writer looks at the clock right before it writes; later answers become 503 with Retry-After. What is left unanswered at the end of an event without a lease can only be unclear. Replica::lease_until and primary_until say when; the clock is a type of its own that tests can set.

--- a/crates/quillpulley/src/control/api.rs
+++ b/crates/quillpulley/src/control/api.rs
@@ -1,10 +1,14 @@
 //! The operator's API: reads calls, hands them to the main thread, and writes its answers.
 //!
 //! A few threads read requests; none of them waits for an answer. The main thread decides, and a few other
-//! threads write, so that neither a slow caller nor an order under way holds up the rest.
+//! threads write, so that neither a slow caller nor an order under way holds up the rest. Right before an answer is
+//! written its writer looks at the clock: once the lease on which the answer rests has ended, the caller is told to
+//! come back instead.
 
+use super::clock::Clock;
 use super::http::{self, Handler, JsonAnswer};
 use super::orders::{Answer, Order};
+use super::timed_answer::TimedAnswer;
 use crate::HostError;
 use simd_json::prelude::Writable;
 use std::io::Read;
@@ -12,6 +16,7 @@
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 use tiny_http::{Method, Request};
 
 /// The longest body of a call.
@@ -49,12 +54,12 @@
 
 struct Written {
     request: Request,
-    answer: Answer,
+    answer: TimedAnswer,
 }
 
 impl Reply {
-    /// Has the answer written by another thread.
-    pub fn send(self, answer: Answer) {
+    /// Has the answer written by another thread, if it is still valid then.
+    pub fn send(self, answer: TimedAnswer) {
         let written = Written { request: self.request, answer };
         if self.answers.send(written).is_err() {
             log::warn!("no thread is left to answer the operator");
@@ -62,30 +67,68 @@
     }
 }
 
+/// Deliberate faults, for tests only.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// Answers are written without a look at the clock.
+    pub write_without_look: bool,
+}
+
 /// Serves the API on `listener`. `deliver` hands a call to the main thread and gives it back if that takes no
-/// more.
+/// more. Answers are valid by `clock`.
 ///
 /// # Errors
 /// [`HostError::Runtime`] if the threads cannot be started.
-pub fn serve<D>(listener: TcpListener, deliver: D) -> Result<(), HostError>
+pub fn serve<D>(listener: TcpListener, clock: Clock, deliver: D) -> Result<(), HostError>
+where
+    D: Fn(Box<ApiCall>) -> Result<(), Box<ApiCall>> + Send + Sync + 'static,
+{
+    serve_with_faults(listener, clock, Faults::default(), deliver)
+}
+
+/// Serves with faults built in.
+#[doc(hidden)]
+pub fn serve_with_faults<D>(
+    listener: TcpListener,
+    clock: Clock,
+    faults: Faults,
+    deliver: D,
+) -> Result<(), HostError>
 where
     D: Fn(Box<ApiCall>) -> Result<(), Box<ApiCall>> + Send + Sync + 'static,
 {
     let (answers, written) = mpsc::channel();
-    let written = Arc::new(Mutex::new(written));
+    let writer = Writer { written: Arc::new(Mutex::new(written)), clock, faults };
     for _ in 0..WRITERS {
-        let written = written.clone();
-        thread::Builder::new().spawn(move || write_answers(&written)).map_err(HostError::Runtime)?;
+        let writer = writer.clone();
+        thread::Builder::new().spawn(move || writer.write_all()).map_err(HostError::Runtime)?;
     }
     let handler: Handler = Arc::new(move |request| take_request(request, &answers, &deliver));
     http::serve(listener, READERS, handler)
 }
 
-fn write_answers(written: &Mutex<Receiver<Written>>) {
-    loop {
-        let next = written.lock().unwrap_or_else(PoisonError::into_inner).recv();
-        let Ok(Written { request, answer }) = next else { return };
-        write_answer(request, answer);
+/// What the threads that write answers share.
+#[derive(Clone)]
+struct Writer {
+    written: Arc<Mutex<Receiver<Written>>>,
+    clock: Clock,
+    faults: Faults,
+}
+
+impl Writer {
+    fn write_all(&self) {
+        loop {
+            let next = self.written.lock().unwrap_or_else(PoisonError::into_inner).recv();
+            let Ok(Written { request, answer }) = next else { return };
+            self.write(request, answer);
+        }
+    }
+
+    fn write(&self, request: Request, answer: TimedAnswer) {
+        let now = if self.faults.write_without_look { Duration::ZERO } else { self.clock.now() };
+        let answer = render(request.url(), answer.at(now));
+        http::respond(request, answer);
     }
 }
 
@@ -97,7 +140,7 @@
         Ok(call) => {
             let reply = Reply { request, answers: answers.clone() };
             if let Err(refused) = deliver(Box::new(ApiCall { call, reply })) {
-                refused.reply.send(Answer::Unavailable);
+                refused.reply.send(TimedAnswer::lasting(Answer::Unavailable));
             }
         }
         Err(Unusable::Refuse { status, why }) => http::respond(request, refusal(status, &why)),
@@ -185,11 +228,6 @@
     Unusable::refuse(413, format!("the body is longer than {MAX_BODY} bytes: send a smaller configuration"))
 }
 
-fn write_answer(request: Request, answer: Answer) {
-    let answer = render(request.url(), answer);
-    http::respond(request, answer);
-}
-
 fn render(url: &str, answer: Answer) -> JsonAnswer {
     match answer {
         Answer::Done => JsonAnswer::new(200, b"{}".to_vec()),
--- a/crates/quillpulley/src/control/host.rs
+++ b/crates/quillpulley/src/control/host.rs
@@ -4,6 +4,7 @@
 //! the place in the relay tree, what is published, orders, answers, the directory and the links.
 
 use super::api::{ApiCall, Call, Reply};
+use super::clock::Clock;
 use super::directory::DirectoryBoard;
 use super::directory_view::DirectoryView;
 use super::disk::{Disk, Stored};
@@ -15,6 +16,7 @@
 use super::reader::{ListReader, Outcome, ReaderOptions};
 use super::relay::Relay;
 use super::status;
+use super::timed_answer::TimedAnswer;
 use crate::peer::{LinkId, Peers};
 use crate::Settings;
 use quillpulley_configuration::ControlState;
@@ -24,7 +26,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How often the platform's list is read, if its rate allows it.
 const READING_INTERVAL: Duration = Duration::from_millis(400);
@@ -32,22 +34,6 @@
 /// time.
 const SEEDS_AGAIN_AFTER: Duration = Duration::from_secs(3);
 
-/// The time since the process started.
-#[derive(Clone, Copy)]
-pub struct Clock(Instant);
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        Clock(Instant::now())
-    }
-
-    /// The time since the start.
-    pub fn now(&self) -> Duration {
-        self.0.elapsed()
-    }
-}
-
 /// A child in the relay tree.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Child {
@@ -156,11 +142,13 @@
     pub fn called(&mut self, call: ApiCall) {
         let now = self.clock.now();
         self.update_leadership(now);
-        match (&self.leadership, call.call) {
-            (_, Call::ReadStatus) => call.reply.send(Answer::Status(status::describe(self, now))),
+        match (self.replica.lease_until(now), call.call) {
+            (_, Call::ReadStatus) => call.reply.send(self.status(now)),
             (None, _) => call.reply.send(self.elsewhere(now)),
             (Some(_), Call::Order(order)) => self.orders.push(now, order, call.reply),
-            (Some(_), Call::ReadConfiguration) => call.reply.send(self.configuration()),
+            (Some(lease_end), Call::ReadConfiguration) => {
+                call.reply.send(TimedAnswer::until(lease_end, self.configuration()));
+            }
         }
         self.settle();
     }
@@ -258,13 +246,25 @@
         body.map_or(Answer::NoConfiguration, |body| Answer::Configuration(body.to_vec()))
     }
 
-    /// Where a caller should go instead.
-    pub(super) fn elsewhere(&self, now: Duration) -> Answer {
-        let primary = self.replica.primary_hint(now).filter(|primary| *primary != self.me);
+    /// What this process knows of the core, for as long as it knows a primary.
+    fn status(&self, now: Duration) -> TimedAnswer {
+        let answer = Answer::Status(status::describe(self, now));
+        match self.replica.primary_until(now) {
+            Some((_, until)) => TimedAnswer::until(until, answer),
+            None => TimedAnswer::lasting(answer),
+        }
+    }
+
+    /// Where a caller should go instead, for as long as that primary's lease is known to run here.
+    pub(super) fn elsewhere(&self, now: Duration) -> TimedAnswer {
+        let primary = self.replica.primary_until(now).filter(|(primary, _)| *primary != self.me);
         let port = self.settings.listen.control.map(|address| address.port());
         match (primary, port) {
-            (Some(primary), Some(port)) => Answer::Redirect(SocketAddr::from((primary.address(), port))),
-            _ => Answer::Unavailable,
+            (Some((primary, until)), Some(port)) => {
+                let address = SocketAddr::from((primary.address(), port));
+                TimedAnswer::until(until, Answer::Redirect(address))
+            }
+            _ => TimedAnswer::lasting(Answer::Unavailable),
         }
     }
 
@@ -294,8 +294,9 @@
     }
 
     fn committed(&mut self, order: u64) {
-        let holds_lease = self.replica.holds_lease(self.clock.now());
-        self.orders.committed(order, self.replica.state(), holds_lease);
+        let lease_end = self.replica.lease_until(self.clock.now());
+        self.orders.committed(order, self.replica.state(), lease_end.is_some());
+        self.send_answers(lease_end.unwrap_or_default());
     }
 
     /// Brings everything in line with what has happened.
@@ -305,21 +306,25 @@
         self.update_parent(now);
         self.publish_changes(now);
         self.propose_orders();
-        self.send_answers();
+        // Without a lease nothing that is left can be clear.
+        self.send_answers(Duration::ZERO);
         self.show_directory(now);
         self.dial(now);
     }
 
     fn propose_orders(&mut self) {
-        while self.replica.holds_lease(self.clock.now()) {
-            let Some(proposal) = self.orders.next_proposal(self.replica.state()) else { return };
+        while let Some(lease_end) = self.replica.lease_until(self.clock.now()) {
+            let proposal = self.orders.next_proposal(self.replica.state());
+            self.send_answers(lease_end);
+            let Some(proposal) = proposal else { return };
             self.replicate(Event::Propose { order: proposal.order, payload: proposal.payload });
         }
     }
 
-    fn send_answers(&mut self) {
+    /// Sends the answers that were decided under a lease that ends at `lease_end`.
+    pub(super) fn send_answers(&mut self, lease_end: Duration) {
         for (reply, answer) in self.orders.take_answers() {
-            reply.send(answer);
+            reply.send(TimedAnswer::until(lease_end, answer));
         }
     }
 
--- a/crates/quillpulley/src/control/leadership.rs
+++ b/crates/quillpulley/src/control/leadership.rs
@@ -59,8 +59,9 @@
         for node in self.relay.leave_root() {
             self.feed_event(Event::ChildDown(super::host::Child::Core(node)));
         }
-        let answer = self.elsewhere(now);
-        self.orders.abandon(&answer);
+        let elsewhere = self.elsewhere(now);
+        self.orders.abandon(elsewhere.decided());
+        self.send_answers(elsewhere.valid_until());
     }
 
     /// Publishes what has changed, if this process leads.
--- a/crates/quillpulley/src/control/mod.rs
+++ b/crates/quillpulley/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! ([`disk`]), for the platform ([`fetcher`]), for the operator ([`api`]) and for clients ([`directory`]).
 
 pub mod api;
+pub mod clock;
 pub mod directory;
 pub mod directory_view;
 pub mod disk;
@@ -23,6 +24,7 @@
 pub mod relay;
 pub mod servers;
 mod status;
+pub mod timed_answer;
 
 use crate::{HostError, Settings};
 
--- a/crates/quillpulley/src/control/process.rs
+++ b/crates/quillpulley/src/control/process.rs
@@ -1,10 +1,11 @@
 //! The start of a core process, and the loop that feeds events to its host.
 
 use super::api::{self, ApiCall};
+use super::clock::Clock;
 use super::directory::{self, DirectoryBoard};
 use super::disk::{Disk, Stored};
 use super::fetcher::{Fetched, Fetcher};
-use super::host::{Clock, Host, Parts};
+use super::host::{Host, Parts};
 use super::http;
 use crate::peer::{bind, PeerEvent, Peers};
 use crate::signals::{self, Command};
@@ -79,7 +80,7 @@
     }
     let (call, calls) = channel(CALL_QUEUE);
     let address = settings.control_address().map_err(settings_error)?;
-    api::serve(listen(address).await?, move |taken| {
+    api::serve(listen(address).await?, clock.clone(), move |taken| {
         call.try_send(taken).map_err(|refused| refused.into_inner())
     })?;
 
--- a/crates/quillpulley/tests/control/api.rs
+++ b/crates/quillpulley/tests/control/api.rs
@@ -1,7 +1,9 @@
 //! The operator's API over HTTP, with a main thread that answers as the test says.
 
 use quillpulley::control::api::{self, ApiCall, Call};
+use quillpulley::control::clock::Clock;
 use quillpulley::control::orders::{Answer, Order};
+use quillpulley::control::timed_answer::TimedAnswer;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver};
@@ -15,18 +17,18 @@
     let address = listener.local_addr().expect("an address");
     let (send, calls) = mpsc::channel();
     let deliver = move |call| send.send(call).map_err(|refused| refused.0);
-    api::serve(listener, deliver).expect("a server");
+    api::serve(listener, Clock::start(), deliver).expect("a server");
     (address, calls)
 }
 
-struct Told {
-    status: u16,
-    headers: String,
-    body: String,
+pub struct Told {
+    pub status: u16,
+    pub headers: String,
+    pub body: String,
 }
 
 /// Sends raw bytes and reads the answer up to the end of the connection.
-fn send(address: SocketAddr, request: &str) -> Told {
+pub fn send(address: SocketAddr, request: &str) -> Told {
     let mut stream = TcpStream::connect(address).expect("a connection");
     stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
     stream.write_all(request.as_bytes()).expect("a request sent");
@@ -49,7 +51,7 @@
     )
 }
 
-fn call(method: &str, path: &str) -> String {
+pub fn call(method: &str, path: &str) -> String {
     format!("{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 }
 
@@ -59,7 +61,7 @@
     let client = std::thread::spawn(move || send(address, &request));
     let taken = calls.recv_timeout(PATIENCE).expect("a call");
     assert_eq!(taken.call, expected);
-    taken.reply.send(answer);
+    taken.reply.send(TimedAnswer::lasting(answer));
     client.join().expect("an answer")
 }
 
@@ -185,8 +187,8 @@
     let first = calls.recv_timeout(PATIENCE).expect("a call");
     // The first call has no answer yet when the second is answered.
     let second = std::thread::spawn(move || send(address, &call("POST", "/v1/Evacuate.Start/b")));
-    calls.recv_timeout(PATIENCE).expect("a call").reply.send(Answer::Done);
+    calls.recv_timeout(PATIENCE).expect("a call").reply.send(TimedAnswer::lasting(Answer::Done));
     assert_eq!(second.join().expect("an answer").status, 200);
-    first.reply.send(Answer::Done);
+    first.reply.send(TimedAnswer::lasting(Answer::Done));
     assert_eq!(waiting.join().expect("an answer").status, 200);
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -175,6 +175,12 @@
             && (self.options.faults.ignore_own_lease || self.lease_end().is_some_and(|end| now < end))
     }
 
+    /// If it is the primary and holds the lease: when that ends. Until then no other node is elected, and so what
+    /// the state says now is in force.
+    pub fn lease_until(&self, now: Duration) -> Option<Duration> {
+        self.holds_lease(now).then(|| self.lease_end()).flatten()
+    }
+
     /// The newest view that is known: its epoch, members and witnesses. None before the first.
     pub fn view(&self) -> Option<&View> {
         let known = self.witness.view().filter(|view| view.epoch > BOOTSTRAP_EPOCH);
@@ -193,11 +199,17 @@
 
     /// The primary if this node has heard it within the lease, or is it.
     pub fn primary_hint(&self, now: Duration) -> Option<NodeId> {
-        if self.holds_lease(now) {
-            return Some(self.options.me);
+        self.primary_until(now).map(|(primary, _)| primary)
+    }
+
+    /// The primary if this node has heard it within the lease, or is it, and until when it may be named.
+    pub fn primary_until(&self, now: Duration) -> Option<(NodeId, Duration)> {
+        if let Some(end) = self.lease_until(now) {
+            return Some((self.options.me, end));
         }
         let (primary, heard_at) = self.primary_heard?;
-        (now < heard_at + self.options.lease).then_some(primary)
+        let until = heard_at + self.options.lease;
+        (now < until).then_some((primary, until))
     }
 
     /// Handles what this node sends itself, hands the next write to the host, and tells of a new role.
