Play cuts of twenty seconds and answers that are written late in virtual time

Cause: it was argued but not shown when a machine that is cut off, in one direction or both, stops saying what is in force, when another is elected, and what happens at its return.

Change: tests only, with three claims more for timelines (deposed, names, names-none). The same without the look at writing is caught.

--- a/crates/replication/tests/replication/harness/inspect.rs
+++ b/crates/replication/tests/replication/harness/inspect.rs
@@ -88,6 +88,41 @@
         (0..self.machines.len()).find(is_leader)
     }
 
+    /// The machine that a machine names as the primary to its callers.
+    pub fn named(&self, machine: usize) -> Option<usize> {
+        let now = self.local(machine);
+        let replica = self.machines[machine].replica.as_ref()?;
+        let primary = replica.primary_hint(now)?;
+        self.machines.iter().position(|other| other.id == primary)
+    }
+
+    /// The machines that a caller passes who begins at one and goes where it is sent; ends where nobody is named
+    /// or the named one names itself.
+    pub fn redirects(&self, machine: usize) -> Vec<usize> {
+        let mut passed = vec![machine];
+        while let Some(next) = self.named(passed[passed.len() - 1]) {
+            let is_there = next == passed[passed.len() - 1];
+            let is_loop = passed.contains(&next);
+            if !is_there {
+                passed.push(next);
+            }
+            if is_there || is_loop {
+                break;
+            }
+        }
+        passed
+    }
+
+    /// Which of its processes runs on a machine, or ran last.
+    pub fn life(&self, machine: usize) -> u64 {
+        self.machines[machine].life
+    }
+
+    /// The time as a machine's own clock shows it.
+    pub fn clock(&self, machine: usize) -> Duration {
+        self.local(machine)
+    }
+
     /// The machines that the view of the leader names as members.
     pub fn members(&self) -> Vec<usize> {
         let replica = self.leader().and_then(|leader| self.machines[leader].replica.as_ref());
--- a/crates/replication/tests/replication/harness/timeline.rs
+++ b/crates/replication/tests/replication/harness/timeline.rs
@@ -10,7 +10,7 @@
 //! Times are milliseconds from the begin of the timeline. A cell holds deeds (`start kill power wipe stop freeze
 //! wake hang full good cut join cut-in cut-out cut:B join:B order=N`) and claims (`leads follows member out witness
 //! no-witness
-//! no-lease acked=N open=N`), which must hold at that time. `order=N` proposes an order here, and `acked=N`
+//! no-lease deposed names:B names-none acked=N open=N`), which must hold at that time. `order=N` proposes an order here, and `acked=N`
 //! and `open=N` say whether it has been acknowledged. A column `*` stands for the machine that leads at the time.
 
 use super::disk::DiskMode;
@@ -128,6 +128,9 @@
                 matches!(world.role(machine), Some(Role::Follower { primary: Some(primary) })
                     if Some(primary) == world.leader().map(|leader| world.machines[leader].id))
             }
+            "deposed" => !matches!(world.role(machine), Some(Role::Primary { .. })),
+            "names" => world.named(machine) == Some((self.machine_of)(argument)),
+            "names-none" => world.named(machine).is_none(),
             "no-lease" => !matches!(world.role(machine), Some(Role::Primary { lease: true, .. })),
             "member" => world.members().contains(&machine),
             "out" => !world.members().contains(&machine),
--- a/crates/replication/tests/replication/main.rs
+++ b/crates/replication/tests/replication/main.rs
@@ -4,4 +4,5 @@
 mod harness;
 mod model;
 mod random;
+mod reads;
 mod scenarios;
--- /dev/null
+++ b/crates/replication/tests/replication/reads.rs
@@ -0,0 +1,307 @@
+//! Answers to callers as the host gives them: decided by one thread under the lease, written by another later. Random
+//! cuts, freezes and ends of processes fall between the two.
+//!
+//! An answer about what is in force has everything that any *other* process had acknowledged when it was written.
+//! Nobody who follows redirects ever comes back to where it was.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::harness::{NetworkOptions, World, WorldOptions};
+
+const SCHEDULES: u64 = 150;
+const STEPS: usize = 60;
+/// The longest time between the decision and the writing while the process runs, in milliseconds.
+const LONGEST_WAIT_MS: u64 = 30;
+
+/// How the message of a failure begins.
+const PAST: &str = "an answer from the past";
+
+/// What is done at a step.
+#[derive(Clone, Copy)]
+enum Deed {
+    Propose,
+    Read,
+    /// Some ask, and the machine stands still before it has answered.
+    ReadAndFreeze,
+    Freeze,
+    Wake,
+    CutOff,
+    CutIn,
+    CutOut,
+    CutPair,
+    Join,
+    Kill,
+    Start,
+    Stop,
+}
+
+const DEEDS: [Deed; 24] = [
+    Deed::Propose,
+    Deed::Propose,
+    Deed::Propose,
+    Deed::Propose,
+    Deed::Propose,
+    Deed::Read,
+    Deed::Read,
+    Deed::Read,
+    Deed::Read,
+    Deed::ReadAndFreeze,
+    Deed::ReadAndFreeze,
+    Deed::Freeze,
+    Deed::Wake,
+    Deed::Wake,
+    Deed::Wake,
+    Deed::CutOff,
+    Deed::CutIn,
+    Deed::CutOut,
+    Deed::CutPair,
+    Deed::Join,
+    Deed::Join,
+    Deed::Kill,
+    Deed::Start,
+    Deed::Stop,
+];
+
+/// An answer that waits to be written.
+struct Waiting {
+    machine: usize,
+    life: u64,
+    due: u64,
+    /// The end of the lease, by the machine's own clock.
+    valid_until: Duration,
+    /// The orders in the state that it tells.
+    taken: Vec<u64>,
+}
+
+/// What a run has shown.
+#[derive(Default, Debug, Clone, Copy)]
+struct Counts {
+    decided: usize,
+    written: usize,
+    too_late: usize,
+    /// Looks at where callers are sent.
+    looks: usize,
+    /// The most machines that a caller passed.
+    longest_way: usize,
+}
+
+struct Callers {
+    world: World,
+    random: fastrand::Rng,
+    /// Writers look at the clock.
+    looks_at_clock: bool,
+    waiting: Vec<Waiting>,
+    proposers: BTreeMap<u64, usize>,
+    counts: Counts,
+}
+
+impl Callers {
+    fn new(seed: u64, count: usize, looks_at_clock: bool) -> Self {
+        let lossy = NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, doubled: 30, late: 20 };
+        let network = if seed.is_multiple_of(2) { NetworkOptions::default() } else { lossy };
+        let options = WorldOptions { seed, tolerated: count / 2, network, ..WorldOptions::default() };
+        let mut world = World::first_start(options, count, 3);
+        world.run_for(3000);
+        Callers {
+            world,
+            random: fastrand::Rng::with_seed(seed),
+            looks_at_clock,
+            waiting: Vec::new(),
+            proposers: BTreeMap::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    fn play(mut self) -> Counts {
+        for _ in 0..STEPS {
+            let longest = [20, 150, 400, 1000, 2500][self.random.usize(0..5)];
+            let pause = self.random.u64(0..longest);
+            self.run_for(pause);
+            let deed = DEEDS[self.random.usize(0..DEEDS.len())];
+            let machine = self.random.usize(0..self.world.machines.len());
+            self.act(deed, machine);
+        }
+        self.counts
+    }
+
+    /// Runs for some time and writes what is due, in steps of a few milliseconds.
+    fn run_for(&mut self, time: u64) {
+        let end = self.world.now + time;
+        while self.world.now < end {
+            let step = self.random.u64(1..20).min(end - self.world.now);
+            self.world.run_for(step);
+            self.check_redirects();
+            self.write_due();
+        }
+    }
+
+    fn act(&mut self, deed: Deed, machine: usize) {
+        let world = &mut self.world;
+        let runs = world.is_running(machine);
+        match deed {
+            Deed::Propose => {
+                if let Some(leader) = world.leader() {
+                    let order = world.propose(leader);
+                    self.proposers.insert(order, leader);
+                }
+            }
+            Deed::Read => (0..world.machines.len()).for_each(|machine| self.decide(machine)),
+            Deed::ReadAndFreeze => {
+                let machine = world.leader().unwrap_or(machine);
+                self.decide(machine);
+                if self.world.is_running(machine) {
+                    self.world.freeze(machine);
+                }
+            }
+            Deed::Freeze if runs => world.freeze(machine),
+            Deed::Wake => (0..world.machines.len()).for_each(|machine| self.wake(machine)),
+            Deed::CutOff => self.cut(machine, true, true),
+            Deed::CutIn => self.cut(machine, true, false),
+            Deed::CutOut => self.cut(machine, false, true),
+            Deed::CutPair => {
+                let other = (machine + 1) % world.machines.len();
+                world.network.cut(machine, other);
+                world.network.cut(other, machine);
+                world.notice_cuts();
+            }
+            Deed::Join => world.network.join_all(),
+            Deed::Kill => world.kill(machine, false),
+            Deed::Start => {
+                for machine in 0..world.machines.len() {
+                    if !world.is_running(machine) {
+                        world.start(machine);
+                    }
+                }
+            }
+            Deed::Stop if runs => {
+                world.stop(machine);
+                world.run_for(300);
+                world.kill(machine, false);
+            }
+            _ => {}
+        }
+    }
+
+    fn cut(&mut self, machine: usize, hears_nothing: bool, is_not_heard: bool) {
+        for other in (0..self.world.machines.len()).filter(|other| *other != machine) {
+            if hears_nothing {
+                self.world.network.cut(other, machine);
+            }
+            if is_not_heard {
+                self.world.network.cut(machine, other);
+            }
+        }
+        self.world.notice_cuts();
+    }
+
+    /// A caller asks a machine for what is in force.
+    fn decide(&mut self, machine: usize) {
+        if self.world.machines[machine].frozen {
+            return;
+        }
+        let now = self.world.clock(machine);
+        let slot = &self.world.machines[machine];
+        let Some(replica) = &slot.replica else { return };
+        let Some(valid_until) = replica.lease_until(now) else { return };
+        let ledger = replica.state();
+        let taken = ledger.history.iter().filter(|applied| applied.taken_on.is_some());
+        let waiting = Waiting {
+            machine,
+            life: self.world.life(machine),
+            due: self.world.now + self.random.u64(0..LONGEST_WAIT_MS),
+            valid_until,
+            taken: taken.map(|applied| applied.order).collect(),
+        };
+        self.counts.decided += 1;
+        self.waiting.push(waiting);
+    }
+
+    /// A process wakes: its writers may come to run before its main thread.
+    fn wake(&mut self, machine: usize) {
+        if self.world.is_running(machine) && self.world.machines[machine].frozen {
+            self.world.machines[machine].frozen = false;
+            self.write_due();
+            self.world.wake(machine);
+        }
+    }
+
+    fn write_due(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for answer in waiting {
+            let runs = self.world.is_running(answer.machine);
+            if !runs || self.world.life(answer.machine) != answer.life {
+                continue;
+            }
+            if self.world.machines[answer.machine].frozen || answer.due > self.world.now {
+                self.waiting.push(answer);
+            } else {
+                self.write(&answer);
+            }
+        }
+    }
+
+    fn write(&mut self, answer: &Waiting) {
+        if self.looks_at_clock && self.world.clock(answer.machine) >= answer.valid_until {
+            self.counts.too_late += 1;
+            return;
+        }
+        self.counts.written += 1;
+        for order in &self.world.checker.acknowledged {
+            let own = self.proposers.get(order) == Some(&answer.machine);
+            assert!(
+                own || answer.taken.contains(order),
+                "{PAST} lacks order {order}\n{}",
+                self.world.trace.join("\n")
+            );
+        }
+    }
+
+    fn check_redirects(&mut self) {
+        for machine in 0..self.world.machines.len() {
+            let way = self.world.redirects(machine);
+            let last = way[way.len() - 1];
+            assert!(!way[..way.len() - 1].contains(&last), "a loop of redirects: {way:?}");
+            self.counts.looks += 1;
+            self.counts.longest_way = self.counts.longest_way.max(way.len());
+        }
+    }
+}
+
+fn play(seed: u64, count: usize, looks_at_clock: bool) -> Counts {
+    Callers::new(seed, count, looks_at_clock).play()
+}
+
+fn play_all(count: usize) -> Counts {
+    let runs = (0..SCHEDULES).map(|seed| play(seed, count, true));
+    let sum = runs.fold(Counts::default(), |sum, run| Counts {
+        decided: sum.decided + run.decided,
+        written: sum.written + run.written,
+        too_late: sum.too_late + run.too_late,
+        looks: sum.looks + run.looks,
+        longest_way: sum.longest_way.max(run.longest_way),
+    });
+    println!("{count} machines, {SCHEDULES} schedules of {STEPS} steps: {sum:?}");
+    sum
+}
+
+#[test]
+fn no_answer_of_three_machines_is_from_the_past() {
+    let sum = play_all(3);
+    assert!(sum.written > 0 && sum.too_late > 0, "{sum:?}");
+}
+
+#[test]
+fn no_answer_of_five_machines_is_from_the_past() {
+    let sum = play_all(5);
+    assert!(sum.written > 0 && sum.too_late > 0, "{sum:?}");
+}
+
+#[test]
+fn a_read_without_a_look_at_the_lease_when_it_is_written_is_caught() {
+    let is_caught = |seed| {
+        let Err(panic) = std::panic::catch_unwind(|| play(seed, 3, false)) else { return false };
+        panic.downcast_ref::<String>().is_some_and(|message| message.starts_with(PAST))
+    };
+    assert!((0..SCHEDULES).any(is_caught));
+}
--- a/crates/replication/tests/replication/scenarios/mod.rs
+++ b/crates/replication/tests/replication/scenarios/mod.rs
@@ -1,5 +1,6 @@
 //! Troubles one by one, as timelines. Every one is played with several seeds.
 
+mod cut_off;
 mod leaving;
 mod lost_machines;
 mod partitions_and_disks;
