--- a/crates/quillpulley/tests/control/api.rs
+++ b/crates/quillpulley/tests/control/api.rs
@@ -43,7 +43,7 @@
     Told { status, headers: head.to_ascii_lowercase(), body: body.to_string() }
 }
 
-fn replace(base: &str, body: &str) -> String {
+pub fn replace(base: &str, body: &str) -> String {
     let length = body.len();
     format!(
         "POST /v1/Config.Replace HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
--- /dev/null
+++ b/crates/quillpulley/tests/control/frozen_host.rs
@@ -0,0 +1,234 @@
+//! A whole host, alone in its system, that stands still at every point between a call and its answer. Its clock is
+//! the test's; its sockets, disk and threads are real.
+
+use crate::api::{call, replace, send, Told};
+use crate::configuration;
+use quillpulley::control::api::{self, ApiCall, Faults};
+use quillpulley::control::clock::Clock;
+use quillpulley::control::directory::DirectoryBoard;
+use quillpulley::control::disk::{Disk, Stored};
+use quillpulley::control::host::{Host, Parts};
+use quillpulley::peer::Peers;
+use quillpulley::Settings;
+use quillpulley_configuration::ControlState;
+use quillpulley_replication::{Options, Replica};
+use quillpulley_wire::{Hello, NodeId, PeerKind};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{self, Receiver};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Longer than any lease.
+const FREEZE_MS: u64 = 20_000;
+const TICK_MS: u64 = 50;
+const IP: Ipv4Addr = Ipv4Addr::LOCALHOST;
+
+static FOLDERS: AtomicU64 = AtomicU64::new(0);
+
+struct Bench {
+    host: Host,
+    /// The clock of the main thread, in milliseconds.
+    now: Arc<AtomicU64>,
+    /// How much later the writers of answers come to look at the clock.
+    writers_late: Arc<AtomicU64>,
+    api: SocketAddr,
+    calls: Receiver<Box<ApiCall>>,
+    stored: Receiver<Stored>,
+    folder: PathBuf,
+}
+
+impl Bench {
+    /// A host that leads, with version 5 in force.
+    fn start(faults: Faults) -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("quillpulley-frozen-{}-{number}", std::process::id()));
+        let (now, writers_late) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+        let clock = main_clock(now.clone(), writers_late.clone());
+
+        let listener = TcpListener::bind((IP, 0)).expect("a socket");
+        let api = listener.local_addr().expect("an address");
+        let (deliver, calls) = mpsc::channel();
+        let deliver = move |call| deliver.send(call).map_err(|refused| refused.0);
+        api::serve_with_faults(listener, clock.clone(), faults, deliver).expect("a server");
+
+        let (store, stored) = mpsc::channel();
+        let deliver = move |fate| drop(store.send(fate));
+        let (disk, recovered) = Disk::open(folder.clone(), deliver).expect("a disk");
+        let me = NodeId::new(IP, 0);
+        let options = Options { me, bootstrap: Some(vec![me]), tolerated_machines: 0, ..Options::default() };
+        let replica = Replica::new(options, recovered, ControlState::default(), clock.now());
+        let hello = Hello {
+            kind: PeerKind::Control,
+            node: me,
+            name: "core".to_string(),
+            zone: "a".to_string(),
+            region: "a".to_string(),
+            control: api.to_string(),
+        };
+        // Alone it dials nobody, and so its links need no runtime.
+        let (peers, _) = Peers::new(hello);
+        let parts = Parts {
+            clock,
+            me,
+            peers,
+            replica: replica.expect("a replica"),
+            disk,
+            fetcher: None,
+            directory: DirectoryBoard::default(),
+        };
+        let host = Host::new(settings(api, &folder), parts);
+        let mut bench = Bench { host, now, writers_late, api, calls, stored, folder };
+        let told = bench.run_until_clear(&replace("0", &text("5")));
+        assert_eq!(told.status, 200);
+        bench
+    }
+
+    /// Lets time pass and takes what the disk reports.
+    fn step(&mut self) {
+        self.now.fetch_add(TICK_MS, Ordering::SeqCst);
+        self.host.tick();
+        // A write takes less than this by far; one that does not is taken at the next step.
+        while let Ok(stored) = self.stored.recv_timeout(Duration::from_millis(20)) {
+            self.host.stored(stored);
+        }
+    }
+
+    /// Calls, and gives the call to the main thread once it has come.
+    fn ask(&mut self, request: &str) -> JoinHandle<Told> {
+        let (caller, taken) = self.queue(request);
+        self.host.called(*taken);
+        caller
+    }
+
+    /// Calls, and keeps the call in the queue of the main thread.
+    fn queue(&mut self, request: &str) -> (JoinHandle<Told>, Box<ApiCall>) {
+        let (api, request) = (self.api, request.to_string());
+        let caller = thread::spawn(move || send(api, &request));
+        (caller, self.calls.recv_timeout(PATIENCE).expect("a call"))
+    }
+
+    /// Calls until there is a clear answer.
+    fn run_until_clear(&mut self, request: &str) -> Told {
+        for _ in 0..400 {
+            let caller = self.ask(request);
+            while !caller.is_finished() {
+                self.step();
+            }
+            let told = caller.join().expect("an answer");
+            if told.status != 503 {
+                return told;
+            }
+        }
+        panic!("no clear answer to {request}");
+    }
+
+    fn freeze(&self) {
+        self.now.fetch_add(FREEZE_MS, Ordering::SeqCst);
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+/// The clock of the test's own thread, which is the main thread of the host; writers may be late.
+fn main_clock(now: Arc<AtomicU64>, writers_late: Arc<AtomicU64>) -> Clock {
+    let main = thread::current().id();
+    Clock::reading(move || {
+        let late = if thread::current().id() == main { 0 } else { writers_late.load(Ordering::SeqCst) };
+        Duration::from_millis(now.load(Ordering::SeqCst) + late)
+    })
+}
+
+fn settings(api: SocketAddr, folder: &std::path::Path) -> Settings {
+    let text = format!(
+        "NodeName = \"core\"\nIp = \"{IP}\"\nZone = \"a\"\nRegion = \"a\"\nPortRange = [7720, 7735]\nSeeds = []\n\
+         DataDir = \"{}\"\n[Listen]\nControl = \"{api}\"\n[FaultTolerance]\nMachines = 0\n",
+        folder.display()
+    );
+    Settings::parse(&text).expect("settings")
+}
+
+fn text(version: &str) -> String {
+    String::from_utf8(configuration(version)).expect("text")
+}
+
+fn get() -> String {
+    call("GET", "/v1/Config.Get")
+}
+
+/// Calls whose answers say what is in force: a read, an order that is in force, one on a wrong base, an invalid one.
+fn statements() -> Vec<(String, u16)> {
+    vec![
+        (get(), 200),
+        (replace("0", &text("5")), 200),
+        (replace("0", &text("6")), 412),
+        (replace("5", &text("4")), 400),
+    ]
+}
+
+#[test]
+fn a_primary_answers_while_its_lease_runs() {
+    let mut bench = Bench::start(Faults::default());
+    for (request, status) in statements() {
+        assert_eq!(bench.run_until_clear(&request).status, status, "{request}");
+    }
+}
+
+#[test]
+fn calls_that_waited_while_the_process_stood_still_get_nothing_clear() {
+    for (request, _) in statements() {
+        let mut bench = Bench::start(Faults::default());
+        let (caller, taken) = bench.queue(&request);
+        bench.freeze();
+        bench.host.called(*taken);
+        assert_eq!(caller.join().expect("an answer").status, 503, "{request}");
+    }
+}
+
+#[test]
+fn a_write_that_ended_while_the_process_stood_still_is_not_acknowledged() {
+    let mut bench = Bench::start(Faults::default());
+    // Nothing else is with the disk when the order comes.
+    bench.step();
+    let caller = bench.ask(&replace("5", &text("7")));
+    let stored = bench.stored.recv_timeout(PATIENCE).expect("a write");
+    bench.freeze();
+    bench.host.stored(stored);
+    while !caller.is_finished() {
+        if let Ok(stored) = bench.stored.recv_timeout(Duration::from_millis(20)) {
+            bench.host.stored(stored);
+        }
+    }
+    assert_eq!(caller.join().expect("an answer").status, 503);
+    // The order may be in force all the same: sent again it is acknowledged.
+    assert_eq!(bench.run_until_clear(&replace("5", &text("7"))).status, 200);
+}
+
+/// The statuses that get out though the process stood still between the decision and the writing.
+fn statements_of_late_writers(faults: Faults) -> Vec<u16> {
+    let statuses = statements().into_iter().map(|(request, _)| {
+        let mut bench = Bench::start(faults);
+        // The lease has just been renewed.
+        bench.step();
+        bench.writers_late.store(FREEZE_MS, Ordering::SeqCst);
+        bench.ask(&request).join().expect("an answer").status
+    });
+    statuses.filter(|status| *status != 503).collect()
+}
+
+#[test]
+fn answers_that_are_written_after_the_process_stood_still_say_nothing_clear() {
+    assert_eq!(statements_of_late_writers(Faults::default()), Vec::<u16>::new());
+}
+
+#[test]
+fn a_host_whose_writers_do_not_look_at_the_lease_is_caught() {
+    assert_eq!(statements_of_late_writers(Faults { write_without_look: true }), [200, 200, 412, 400]);
+}
--- a/crates/quillpulley/tests/control/main.rs
+++ b/crates/quillpulley/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod directory_view;
 mod disk;
 mod fronts;
+mod frozen_host;
 mod late_answers;
 mod orders;
 mod peer_table;
