Neither refuse nor acknowledge a configuration that is older than the history

Cause: an order on a base older than the latest 4,096 changes got 412, also where it had been taken and its answer was lost: the history could not know.

--- a/crates/configuration/src/control_state/decision.rs
+++ b/crates/configuration/src/control_state/decision.rs
@@ -12,6 +12,12 @@
         /// The version in force.
         current: u64,
     },
+    /// It builds on a version that is older than all that is remembered: whether it was taken is not known any
+    /// more, so it is neither acknowledged nor refused.
+    Forgotten {
+        /// The oldest base for which it would be known.
+        oldest: u64,
+    },
     /// It is invalid: refuse it.
     Invalid(ConfigurationError),
     /// Append this payload to the log.
--- a/crates/configuration/src/control_state/mod.rs
+++ b/crates/configuration/src/control_state/mod.rs
@@ -4,6 +4,9 @@
 //! the log, and applied. Orders that are on their way through the log are not seen by a decision, so two of them
 //! may build on one version; the one that is applied second is then ignored. What became of an order is known
 //! by deciding on it once more after it was applied: `AlreadyTaken` or `AlreadySo` if it is in force or was.
+//!
+//! A configuration that is sent again is known by its base and the hash of its content. Two operators that send
+//! the same bytes on the same base are therefore one order, and both are told that it was taken.
 
 mod decision;
 mod history;
@@ -12,7 +15,7 @@
 pub use history::HISTORY_LENGTH;
 
 use crate::{Configuration, ConfigurationError};
-use history::History;
+use history::{History, Recollection};
 use quillpulley_replication::{RestoreError, StateMachine};
 use quillpulley_wire::{
     decode_value, encode_value, ControlSnapshot, ControlSnapshotRef, Entry, EvacuatedZone, Evacuation, Order,
@@ -71,8 +74,10 @@
     /// What to do about a configuration that is to follow version `base`.
     pub fn decide_replace(&self, base: u64, body: &[u8]) -> ReplaceDecision {
         let content_hash = history::content_hash(body);
-        if self.history.contains(base, content_hash) {
-            return ReplaceDecision::AlreadyTaken;
+        match self.history.recall(base, content_hash) {
+            Recollection::Taken => return ReplaceDecision::AlreadyTaken,
+            Recollection::Forgotten { oldest } => return ReplaceDecision::Forgotten { oldest },
+            Recollection::NotTaken => {}
         }
         if base != self.version {
             return ReplaceDecision::Conflict { current: self.version };
--- a/crates/quillpulley/src/control/api.rs
+++ b/crates/quillpulley/src/control/api.rs
@@ -236,18 +236,22 @@
         Answer::Conflict { current } => {
             refusal(412, &format!("version {current} is in place: read it and build on it"))
         }
+        Answer::Forgotten { oldest } => no_clear_answer(&format!(
+            "what was taken on versions below {oldest} is forgotten: read the configuration in force"
+        )),
         Answer::Invalid(why) => refusal(400, &why),
         Answer::Redirect(primary) => {
             let location = format!("http://{primary}{url}");
             JsonAnswer::new(307, b"{}".to_vec()).with_header("Location", location)
         }
-        Answer::Unavailable => {
-            let answer = refusal(503, "no primary has confirmed this: send it again");
-            answer.with_header("Retry-After", RETRY_AFTER_S)
-        }
+        Answer::Unavailable => no_clear_answer("no primary has confirmed this: send it again"),
     }
 }
 
+fn no_clear_answer(why: &str) -> JsonAnswer {
+    refusal(503, why).with_header("Retry-After", RETRY_AFTER_S)
+}
+
 fn refusal(status: u16, why: &str) -> JsonAnswer {
     let body = simd_json::json!({ "Error": why });
     JsonAnswer::new(status, body.encode().into_bytes())
--- a/crates/quillpulley/src/control/orders.rs
+++ b/crates/quillpulley/src/control/orders.rs
@@ -68,6 +68,11 @@
         /// The version in place.
         current: u64,
     },
+    /// No clear answer, now or later: the order builds on a version that is older than all that is remembered.
+    Forgotten {
+        /// The oldest base for which it would be known.
+        oldest: u64,
+    },
     /// The order cannot be taken, for this reason.
     Invalid(String),
     /// Another process is the primary.
@@ -204,6 +209,7 @@
         Order::Replace { base, body } => match state.decide_replace(*base, body) {
             ReplaceDecision::AlreadyTaken => Decision::Answer(Answer::Done),
             ReplaceDecision::Conflict { current } => Decision::Answer(Answer::Conflict { current }),
+            ReplaceDecision::Forgotten { oldest } => Decision::Answer(Answer::Forgotten { oldest }),
             ReplaceDecision::Invalid(error) => Decision::Answer(Answer::Invalid(error.to_string())),
             ReplaceDecision::Take(payload) => Decision::Propose(payload),
         },
--- a/crates/quillpulley/tests/control/api.rs
+++ b/crates/quillpulley/tests/control/api.rs
@@ -120,6 +120,14 @@
     assert!(told.headers.contains("retry-after: 0.2"), "{}", told.headers);
 }
 
+#[test]
+fn what_is_forgotten_has_no_clear_answer_that_names_the_bound() {
+    let told = exchange(replace("5", "{}"), replacement(5, "{}"), Answer::Forgotten { oldest: 9 });
+    assert_eq!(told.status, 503);
+    assert!(told.body.contains("below 9 is forgotten"), "{}", told.body);
+    assert!(told.headers.contains("retry-after: 0.2"), "{}", told.headers);
+}
+
 #[test]
 fn a_call_that_nobody_takes_has_no_clear_answer() {
     let (address, calls) = start();
