Send long messages between processes in pieces, so that heartbeats and orders pass

A state of 9 MB, or an entry of 4.5 MB, was one frame on the link that heartbeats use: at 86 Mbit/s these waited for up to a second behind it, and where a second one was queued the link was closed as "the peer reads too slowly", again and again while a member was to be brought up to date.

A link now has three lanes. Short messages of the replication go before all that waits; the other two lanes take turns in pieces of 64 KiB, of which 512 KiB may be under way until the other side tells that they came, so that no buffer below holds much of them either. Each lane keeps its order; the replication relies on none between lanes. Of messages with log or state one may be sent in part and the latest waits behind it: they may be lost, and do not count for the bound that closes a link.

Tests: crates/wire tests/queue.rs (9, new), peer.rs state_that_is_sent_again_and_again_closes_no_link_and_lets_heartbeats_pass (new, fails without the change); all tests of quillpulley-wire and quillpulley green.

--- a/crates/quillpulley/src/peer/link.rs
+++ b/crates/quillpulley/src/peer/link.rs
@@ -175,19 +175,35 @@
     fn poll_frame(&mut self, context: &mut Context<'_>) -> Poll<Result<Body, LinkEnd>> {
         self.write(context)?;
         loop {
-            if let Some(body) = self.decoder.next_frame().map_err(LinkEnd::Wire)? {
+            let body = self.decoder.next_frame().map_err(LinkEnd::Wire)?;
+            self.count_pieces(context)?;
+            if let Some(body) = body {
                 return Poll::Ready(Ok(body));
             }
             ready!(self.poll_read(context))?;
         }
     }
 
+    /// Tells the other side of pieces that have come, and goes on where it has told of some.
+    fn count_pieces(&mut self, context: &mut Context<'_>) -> Result<(), LinkEnd> {
+        let (here, there) = (self.decoder.take_arrived(), self.decoder.take_credited());
+        if here == 0 && there == 0 {
+            return Ok(());
+        }
+        self.outbound.borrow_mut().pieces_came(here, there);
+        self.write(context)
+    }
+
     /// Writes as much as the socket takes.
     fn write(&mut self, context: &mut Context<'_>) -> Result<(), LinkEnd> {
         let mut outbound = self.outbound.borrow_mut();
         outbound.watch(context);
-        while !outbound.waiting().is_empty() {
-            match Pin::new(&mut self.stream).poll_write(context, outbound.waiting()) {
+        loop {
+            let waiting = outbound.waiting();
+            if waiting.is_empty() {
+                break;
+            }
+            match Pin::new(&mut self.stream).poll_write(context, waiting) {
                 Poll::Ready(written) => outbound.advance(written.map_err(LinkEnd::Failed)?),
                 Poll::Pending => break,
             }
--- a/crates/quillpulley/src/peer/mod.rs
+++ b/crates/quillpulley/src/peer/mod.rs
@@ -1,7 +1,8 @@
 //! Links between the processes of the system: framed messages over TCP, on one thread.
 //!
-//! Both sides of a link first send a `Hello`; then either side sends what it likes. Frames arrive in order and
-//! whole, or the link closes. What happens is told as [`PeerEvent`]s on one channel, which the host reads.
+//! Both sides of a link first send a `Hello`; then either side sends what it likes. Messages arrive whole, and in
+//! order with those of their [`Lane`], or the link closes. Of messages with log or state only the latest that was
+//! not begun is sent. What happens is told as [`PeerEvent`]s on one channel, which the host reads.
 //!
 //! All functions that start something (listen, connect) must be called on a tokio `LocalSet`.
 
@@ -10,7 +11,7 @@
 mod socket;
 mod table;
 
-use quillpulley_wire::{Body, FrameEncoder, Hello};
+use quillpulley_wire::{Body, FrameEncoder, Hello, Lane};
 use std::cell::{Cell, RefCell};
 use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
@@ -77,7 +78,8 @@
     pub idle_limit: Option<Duration>,
     /// Incoming connections beyond so many at a time are closed at once.
     pub maximum_incoming: usize,
-    /// Bytes that may wait to be sent on a link. One frame may exceed it if nothing waits before it.
+    /// Bytes that may wait to be sent on a link, log and state of the replication aside. One message may exceed it
+    /// if nothing waits before it.
     pub maximum_queued: usize,
 }
 
@@ -154,7 +156,8 @@
         let encoder = &mut self.shared.encoder.borrow_mut();
         let message = encoder.message(body);
         let mut table = self.shared.table.borrow_mut();
-        links.iter().for_each(|link| table.send_message(*link, message));
+        let lane = Lane::of(body);
+        links.iter().for_each(|link| table.send_message(*link, lane, message));
     }
 
     /// Closes a link soon. What waits is still written as far as the other side takes it at once.
--- a/crates/quillpulley/src/peer/outbound.rs
+++ b/crates/quillpulley/src/peer/outbound.rs
@@ -1,21 +1,12 @@
 //! What waits to be written on one link.
 
-use quillpulley_wire::frame_message;
+use quillpulley_wire::{FrameQueue, Lane, QueueFull};
 use std::task::{Context, Waker};
 
-/// Bytes that were written are removed from the buffer once they are so many, and an empty buffer keeps no more
-/// memory than this.
-const KEPT_BUFFER: usize = 64 * 1024;
-
-/// More bytes wait than the bound allows.
-#[derive(Debug)]
-pub struct Overflow;
-
-/// Frames one after the other, so that one write takes as many of them as the socket does.
+/// The queue of one link, and who empties it.
 #[derive(Default)]
 pub struct Outbound {
-    bytes: Vec<u8>,
-    written: usize,
+    queue: FrameQueue,
     ended: bool,
     /// Wakes the link's task.
     waker: Option<Waker>,
@@ -24,19 +15,15 @@
 impl Outbound {
     /// Puts bytes before all that waits; nothing may have been written yet.
     pub fn prepend(&mut self, bytes: &[u8]) {
-        self.bytes.splice(..0, bytes.iter().copied());
+        self.queue.prepend(bytes);
     }
 
-    /// Adds an encoded message as a frame, unless the link has ended.
-    pub fn push(&mut self, message: &[u8], maximum: usize) -> Result<(), Overflow> {
+    /// Adds an encoded message, unless the link has ended.
+    pub fn push(&mut self, lane: Lane, message: &[u8], maximum: usize) -> Result<(), QueueFull> {
         if self.ended {
             return Ok(());
         }
-        let waiting_before = self.waiting().len();
-        frame_message(message, &mut self.bytes);
-        if waiting_before > 0 && self.waiting().len() > maximum {
-            return Err(Overflow);
-        }
+        self.queue.push(lane, message, maximum)?;
         self.wake();
         Ok(())
     }
@@ -52,22 +39,22 @@
         self.ended
     }
 
-    /// What has not been written yet.
-    pub fn waiting(&self) -> &[u8] {
-        &self.bytes[self.written..]
+    /// The next bytes to write.
+    pub fn waiting(&mut self) -> &[u8] {
+        self.queue.waiting()
     }
 
     /// So many bytes were written.
     pub fn advance(&mut self, written: usize) {
-        self.written += written;
-        if self.written == self.bytes.len() {
-            self.bytes.clear();
-            self.bytes.shrink_to(KEPT_BUFFER);
-            self.written = 0;
-        } else if self.written > KEPT_BUFFER {
-            self.bytes.drain(..self.written);
-            self.written = 0;
+        self.queue.advance(written);
+    }
+
+    /// What has come of pieces, and what the other side tells that has come there.
+    pub fn pieces_came(&mut self, here: usize, there: usize) {
+        if here > 0 {
+            self.queue.tell_arrived(here);
         }
+        self.queue.credited(there);
     }
 
     /// Who is woken when there is something to do.
--- a/crates/quillpulley/src/peer/table.rs
+++ b/crates/quillpulley/src/peer/table.rs
@@ -3,7 +3,7 @@
 use super::outbound::Outbound;
 use super::{LinkId, PeerEvent};
 use log::{debug, warn};
-use quillpulley_wire::{Body, Hello};
+use quillpulley_wire::{Body, Hello, Lane};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -103,10 +103,10 @@
     }
 
     /// Queues a message that is encoded already.
-    pub fn send_message(&mut self, link: LinkId, message: &[u8]) {
+    pub fn send_message(&mut self, link: LinkId, lane: Lane, message: &[u8]) {
         let Some(entry) = self.links.get(&link) else { return };
         let mut outbound = entry.outbound.borrow_mut();
-        if outbound.push(message, self.maximum_queued).is_err() {
+        if outbound.push(lane, message, self.maximum_queued).is_err() {
             warn!("{link} to {}: closed, the peer reads too slowly: check its load", entry.address);
             outbound.end();
         }
--- a/crates/quillpulley/tests/peer.rs
+++ b/crates/quillpulley/tests/peer.rs
@@ -4,7 +4,9 @@
 
 use common::{expect, hello, listener, read_message, read_to_end, run, Side};
 use quillpulley::peer::{PeerEvent, PeerOptions, Peers};
-use quillpulley_wire::{encode_frame, Body, FrameDecoder, Hello, PeerKind, Ping, MAX_FRAME};
+use quillpulley_wire::{
+    encode_frame, Body, FrameDecoder, Hello, Install, LeaseGrant, PeerKind, Ping, Position, MAX_FRAME,
+};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -225,6 +227,40 @@
     });
 }
 
+fn install(index: u64) -> Body {
+    let snapshot_last = Position { epoch: 1, index };
+    Body::Install(Box::new(Install {
+        epoch: 1,
+        snapshot_last,
+        snapshot: vec![3; 9_000_000],
+        entries: Vec::new(),
+    }))
+}
+
+#[test]
+fn state_that_is_sent_again_and_again_closes_no_link_and_lets_heartbeats_pass() {
+    run(async {
+        let mut core = with_options(PeerOptions { maximum_queued: 100_000, ..PeerOptions::default() });
+        let (listener, address) = listener(HERE).await;
+        core.peers.listen(listener);
+        let mut member = Side::new(PeerKind::Control, "member");
+        member.peers.connect(address);
+        let (link, _) = core.opened().await;
+        member.opened().await;
+        let grant = Body::LeaseGrant(Box::<LeaseGrant>::default());
+        for index in 1..=20 {
+            core.peers.send(link, &install(index));
+            core.peers.send(link, &grant);
+        }
+        let mut came = Vec::new();
+        while !came.contains(&install(20)) {
+            came.push(member.frame().await.1);
+        }
+        assert!(came[..20].iter().all(|body| *body == grant), "heartbeats came after state");
+        assert!(came.len() < 30, "what was superseded was sent");
+    });
+}
+
 #[test]
 fn a_silent_link_closes_only_where_that_was_asked_for() {
     run(async {
--- a/crates/wire/src/framing.rs
+++ b/crates/wire/src/framing.rs
@@ -1,5 +1,6 @@
 //! Length-prefixed frames on a byte stream, and flatbuffers on their own.
 
+use crate::lane::{Lane, LANES};
 use crate::{Body, Frame, FrameRef};
 use displaydoc::Display;
 use planus::{Builder, ReadAsRoot, WriteAsOffset};
@@ -7,7 +8,13 @@
 /// The most bytes that one frame may hold, its length prefix aside. A whole configuration and what is
 /// published beside it fit.
 pub const MAX_FRAME: usize = 32 * 1024 * 1024;
-const PREFIX: usize = 4;
+/// The most bytes of a message that go in one piece, where the message is cut.
+pub const MAX_PIECE: usize = 64 * 1024;
+pub(crate) const PREFIX: usize = 4;
+/// The length takes the low bits of a prefix. The kind of the frame and, for pieces, the lane stand above.
+const LENGTH_BITS: u32 = 26;
+const LANE_SHIFT: u32 = LENGTH_BITS;
+const KIND_SHIFT: u32 = LANE_SHIFT + 2;
 /// Bytes that have been consumed are removed from the buffer once they are so many; an idle buffer keeps no
 /// more memory than this.
 const COMPACT_AT: usize = 64 * 1024;
@@ -91,11 +98,60 @@
     Ok(T::try_from(R::read_as_root(bytes)?)?)
 }
 
-/// Cuts a byte stream into messages.
+/// What a frame on a stream holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FrameKind {
+    /// A message.
+    Whole,
+    /// A piece of a message. More follow on the same lane, with other frames between them.
+    Piece,
+    /// The last piece of a message.
+    LastPiece,
+    /// How many bytes of pieces have come at the other side, as four bytes.
+    Credit,
+}
+
+/// The four bytes before a frame.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Prefix {
+    pub kind: FrameKind,
+    pub lane: Lane,
+    pub length: usize,
+}
+
+impl Prefix {
+    pub fn encode(self) -> [u8; PREFIX] {
+        let (kind, lane) = (self.kind as u32, self.lane as u32);
+        (self.length as u32 | lane << LANE_SHIFT | kind << KIND_SHIFT).to_le_bytes()
+    }
+
+    fn decode(bytes: [u8; PREFIX]) -> Result<Self, WireError> {
+        let word = u32::from_le_bytes(bytes);
+        let length = (word & ((1 << LENGTH_BITS) - 1)) as usize;
+        let (kind, limit) = match word >> KIND_SHIFT {
+            0 => (FrameKind::Whole, MAX_FRAME),
+            1 => (FrameKind::Piece, MAX_PIECE),
+            2 => (FrameKind::LastPiece, MAX_PIECE),
+            3 => (FrameKind::Credit, PREFIX),
+            _ => return Err(WireError::TooLong(word as usize)),
+        };
+        let lane = Lane::from_number(word >> LANE_SHIFT & 3).ok_or(WireError::TooLong(word as usize))?;
+        if length > limit {
+            return Err(WireError::TooLong(word as usize));
+        }
+        Ok(Prefix { kind, lane, length })
+    }
+}
+
+/// Cuts a byte stream into messages, and puts messages together that come in pieces.
 #[derive(Default)]
 pub struct FrameDecoder {
     buffer: Vec<u8>,
     consumed: usize,
+    /// What has come of a message on each lane.
+    unfinished: [Vec<u8>; LANES],
+    arrived: usize,
+    credited: usize,
 }
 
 impl FrameDecoder {
@@ -111,15 +167,43 @@
 
     /// The next whole message, if there is one. After an error the stream is of no further use.
     pub fn next_frame(&mut self) -> Result<Option<Body>, WireError> {
-        let pending = &self.buffer[self.consumed..];
-        let Some((prefix, rest)) = pending.split_first_chunk::<PREFIX>() else { return Ok(None) };
-        let length = u32::from_le_bytes(*prefix) as usize;
-        if length > MAX_FRAME {
-            return Err(WireError::TooLong(length));
+        loop {
+            let pending = &self.buffer[self.consumed..];
+            let Some((prefix, rest)) = pending.split_first_chunk::<PREFIX>() else { return Ok(None) };
+            let Prefix { kind, lane, length } = Prefix::decode(*prefix)?;
+            let Some(bytes) = rest.get(..length) else { return Ok(None) };
+            self.consumed += PREFIX + length;
+            match kind {
+                FrameKind::Whole => return decode_frame(bytes).map(Some),
+                FrameKind::Credit => self.credited += read_credit(bytes)?,
+                FrameKind::Piece | FrameKind::LastPiece => {
+                    self.arrived += length;
+                    let unfinished = &mut self.unfinished[lane as usize];
+                    if unfinished.len() + length > MAX_FRAME {
+                        return Err(WireError::TooLong(unfinished.len() + length));
+                    }
+                    unfinished.extend_from_slice(bytes);
+                    if kind == FrameKind::LastPiece {
+                        return decode_frame(&std::mem::take(unfinished)).map(Some);
+                    }
+                }
+            }
         }
-        let Some(bytes) = rest.get(..length) else { return Ok(None) };
-        let body = decode_frame(bytes)?;
-        self.consumed += PREFIX + length;
-        Ok(Some(body))
     }
+
+    /// How many bytes of pieces have come since the last call. The sender waits to be told.
+    pub fn take_arrived(&mut self) -> usize {
+        std::mem::take(&mut self.arrived)
+    }
+
+    /// How many bytes of pieces the other side has told of since the last call.
+    pub fn take_credited(&mut self) -> usize {
+        std::mem::take(&mut self.credited)
+    }
+}
+
+fn read_credit(bytes: &[u8]) -> Result<usize, WireError> {
+    let bytes =
+        bytes.try_into().map_err(|_| WireError::Malformed("a credit without a number".to_string()))?;
+    Ok(u32::from_le_bytes(bytes) as usize)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,7 +1,8 @@
 //! The internal protocol of quillpulley: typed messages (generated from `wire.fbs`) and their framing.
 //!
 //! A frame on a stream is its length as four bytes, least significant first, and then one flatbuffer of the
-//! type [`Frame`]. Published values and log entries are flatbuffers of their own, read and written by
+//! type [`Frame`]. The bits above the length tell pieces of long messages from whole ones ([`FrameQueue`] cuts them,
+//! [`FrameDecoder`] puts them together). Published values and log entries are flatbuffers of their own, read and written by
 //! [`encode_value`] and [`decode_value`].
 
 #[rustfmt::skip]
@@ -9,10 +10,14 @@
 mod generated;
 
 mod framing;
+mod lane;
 mod node_id;
+mod queue;
 
 pub use framing::{
     decode_frame, decode_value, encode_frame, encode_value, frame_message, FrameDecoder, FrameEncoder,
-    WireError, MAX_FRAME,
+    WireError, MAX_FRAME, MAX_PIECE,
 };
 pub use generated::quillpulley::wire::*;
+pub use lane::Lane;
+pub use queue::{FrameQueue, QueueFull, PIECE_WINDOW};
--- /dev/null
+++ b/crates/wire/src/queue.rs
@@ -0,0 +1,156 @@
+//! What waits to be sent on one link.
+//!
+//! Long messages are cut into pieces, and go only as fast as the other side tells that pieces have come. So there is
+//! never much of them between the two processes, and a heartbeat that is sent behind them is not held up.
+
+use crate::framing::{frame_message, FrameKind, Prefix, MAX_PIECE};
+use crate::lane::Lane;
+use displaydoc::Display;
+use std::collections::VecDeque;
+
+/// Bytes of pieces that may be under way at a time.
+pub const PIECE_WINDOW: usize = 512 * 1024;
+/// Written bytes are removed from the buffer once they are so many, and an empty one keeps no more memory than this.
+const KEPT_BUFFER: usize = 64 * 1024;
+
+/// more bytes wait than the bound allows: check the load of the peer
+#[derive(Debug, Display, PartialEq, Eq)]
+pub struct QueueFull;
+
+struct Message {
+    lane: Lane,
+    bytes: Vec<u8>,
+    sent: usize,
+}
+
+impl Message {
+    fn left(&self) -> usize {
+        self.bytes.len() - self.sent
+    }
+}
+
+/// Messages on their way to one peer.
+#[derive(Default)]
+pub struct FrameQueue {
+    /// Frames in the order in which they go out.
+    ready: Vec<u8>,
+    written: usize,
+    /// Messages that are sent in pieces.
+    ordered: VecDeque<Message>,
+    /// Of these one may be sent in part, and one may wait behind it.
+    states: VecDeque<Message>,
+    /// The lane whose turn it is.
+    states_next: bool,
+    /// Bytes of pieces that the other side has not told of.
+    under_way: usize,
+}
+
+impl FrameQueue {
+    /// Puts bytes before all that waits; nothing may have been written yet.
+    pub fn prepend(&mut self, bytes: &[u8]) {
+        self.ready.splice(..0, bytes.iter().copied());
+    }
+
+    /// Adds an encoded message. On the lane for state it takes the place of one that has not been begun; on the
+    /// others it is refused if more bytes than `maximum` would wait, unless nothing waits before it.
+    pub fn push(&mut self, lane: Lane, message: &[u8], maximum: usize) -> Result<(), QueueFull> {
+        if lane == Lane::State {
+            self.states.retain(|waiting| waiting.sent > 0);
+        } else {
+            let before = self.bounded_bytes();
+            if before > 0 && before + message.len() > maximum {
+                return Err(QueueFull);
+            }
+        }
+        let is_short = message.len() <= MAX_PIECE && self.ready_bytes() <= MAX_PIECE;
+        let lane_is_empty = match lane {
+            Lane::Control => true,
+            Lane::Ordered => self.ordered.is_empty(),
+            Lane::State => self.states.is_empty(),
+        };
+        if lane == Lane::Control || is_short && lane_is_empty {
+            frame_message(message, &mut self.ready);
+            return Ok(());
+        }
+        let message = Message { lane, bytes: message.to_vec(), sent: 0 };
+        match lane {
+            Lane::State => self.states.push_back(message),
+            _ => self.ordered.push_back(message),
+        }
+        Ok(())
+    }
+
+    /// The next bytes to write; empty where nothing may be sent now.
+    pub fn waiting(&mut self) -> &[u8] {
+        while self.ready_bytes() < MAX_PIECE && self.under_way < PIECE_WINDOW {
+            let Some(message) = self.next_message() else { break };
+            self.cut_piece(message);
+        }
+        &self.ready[self.written..]
+    }
+
+    /// So many of the waiting bytes were written.
+    pub fn advance(&mut self, written: usize) {
+        self.written += written;
+        if self.written == self.ready.len() {
+            self.ready.clear();
+            self.ready.shrink_to(KEPT_BUFFER);
+            self.written = 0;
+        } else if self.written > KEPT_BUFFER {
+            self.ready.drain(..self.written);
+            self.written = 0;
+        }
+    }
+
+    /// Tells the other side that so many bytes of its pieces have come.
+    pub fn tell_arrived(&mut self, bytes: usize) {
+        let credit = (bytes as u32).to_le_bytes();
+        let prefix = Prefix { kind: FrameKind::Credit, lane: Lane::Control, length: credit.len() };
+        self.ready.extend_from_slice(&prefix.encode());
+        self.ready.extend_from_slice(&credit);
+    }
+
+    /// The other side has told that so many bytes of pieces have come.
+    pub fn credited(&mut self, bytes: usize) {
+        self.under_way = self.under_way.saturating_sub(bytes);
+    }
+
+    /// Bytes held for this link.
+    pub fn bytes(&self) -> usize {
+        self.bounded_bytes() + self.states.iter().map(Message::left).sum::<usize>()
+    }
+
+    fn ready_bytes(&self) -> usize {
+        self.ready.len() - self.written
+    }
+
+    fn bounded_bytes(&self) -> usize {
+        self.ready_bytes() + self.ordered.iter().map(Message::left).sum::<usize>()
+    }
+
+    /// Takes the message whose turn it is out of its lane.
+    fn next_message(&mut self) -> Option<Message> {
+        self.states_next = !self.states_next;
+        if self.states_next {
+            self.states.pop_front().or_else(|| self.ordered.pop_front())
+        } else {
+            self.ordered.pop_front().or_else(|| self.states.pop_front())
+        }
+    }
+
+    /// Makes the next piece of a message ready, and puts back what is left.
+    fn cut_piece(&mut self, mut message: Message) {
+        let length = message.left().min(MAX_PIECE);
+        let kind = if length == message.left() { FrameKind::LastPiece } else { FrameKind::Piece };
+        let piece = &message.bytes[message.sent..message.sent + length];
+        self.ready.extend_from_slice(&Prefix { kind, lane: message.lane, length }.encode());
+        self.ready.extend_from_slice(piece);
+        self.under_way += length;
+        message.sent += length;
+        match (kind, message.lane) {
+            (FrameKind::LastPiece, _) => {}
+            (_, Lane::State) => self.states.push_front(message),
+            _ => self.ordered.push_front(message),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/queue.rs
@@ -0,0 +1,216 @@
+//! Long messages go in pieces, and hold up neither short ones nor those of other lanes.
+
+use quickcheck::quickcheck;
+use quillpulley_wire::{
+    Append, Body, Entry, FrameDecoder, FrameEncoder, FrameQueue, Install, Lane, LeaseGrant, Position, Update,
+    MAX_PIECE, PIECE_WINDOW,
+};
+
+const MAXIMUM: usize = 8 * 1024 * 1024;
+
+fn install(bytes: usize) -> Body {
+    let snapshot = (0..bytes).map(|place| (place % 251) as u8).collect();
+    let snapshot_last = Position { epoch: 1, index: bytes as u64 };
+    Body::Install(Box::new(Install { epoch: 1, snapshot_last, snapshot, entries: Vec::new() }))
+}
+
+fn append(index: u64, bytes: usize) -> Body {
+    let entries = vec![Entry { epoch: 1, index, payload: vec![7; bytes] }];
+    Body::Append(Box::new(Append { epoch: 1, previous: Position { epoch: 1, index }, entries, committed: 0 }))
+}
+
+fn grant(round: u64) -> Body {
+    Body::LeaseGrant(Box::new(LeaseGrant { round, ..LeaseGrant::default() }))
+}
+
+fn update(tick: u64, bytes: usize) -> Body {
+    let items = vec![quillpulley_wire::Item { key: "k".into(), removed: false, value: vec![1; bytes] }];
+    let stamp = quillpulley_wire::Stamp { epoch: 1, tick };
+    Body::Update(Box::new(Update { stamp, items, ..Update::default() }))
+}
+
+/// The two ends of a link, with nothing between them.
+#[derive(Default)]
+struct Ends {
+    queue: FrameQueue,
+    encoder: FrameEncoder,
+    decoder: FrameDecoder,
+    /// The way back, on which pieces are told of.
+    back: FrameQueue,
+    back_decoder: FrameDecoder,
+    came: Vec<Body>,
+}
+
+impl Ends {
+    fn send(&mut self, body: &Body) {
+        self.queue.push(Lane::of(body), self.encoder.message(body), MAXIMUM).expect("room");
+    }
+
+    /// Passes on at most so many bytes; says how many there were.
+    fn pass(&mut self, most: usize) -> usize {
+        let bytes = self.queue.waiting();
+        let count = bytes.len().min(most);
+        self.decoder.push(&bytes[..count]);
+        self.queue.advance(count);
+        while let Some(body) = self.decoder.next_frame().expect("messages") {
+            self.came.push(body);
+        }
+        count
+    }
+
+    fn tell_back(&mut self) {
+        let arrived = self.decoder.take_arrived();
+        if arrived > 0 {
+            self.back.tell_arrived(arrived);
+        }
+        let told = self.back.waiting().to_vec();
+        self.back.advance(told.len());
+        self.back_decoder.push(&told);
+        assert!(self.back_decoder.next_frame().expect("no message").is_none());
+        self.queue.credited(self.back_decoder.take_credited());
+    }
+
+    fn pass_all(&mut self) {
+        while self.pass(10_000) > 0 {
+            self.tell_back();
+        }
+    }
+}
+
+#[test]
+fn a_short_message_passes_between_the_pieces_of_a_long_one() {
+    let mut ends = Ends::default();
+    let long = install(9_000_000);
+    ends.send(&long);
+    ends.pass(100_000);
+    ends.send(&grant(1));
+    let mut between = 0;
+    while ends.came.is_empty() {
+        between += ends.pass(1_000);
+        ends.tell_back();
+    }
+    assert_eq!(ends.came, [grant(1)]);
+    assert!(between <= 2 * MAX_PIECE + 1_000, "{between} bytes went first");
+    ends.pass_all();
+    assert_eq!(ends.came, [grant(1), long]);
+}
+
+#[test]
+fn no_more_pieces_go_than_the_window_until_the_other_side_tells_of_them() {
+    let mut ends = Ends::default();
+    ends.send(&install(9_000_000));
+    let mut sent = 0;
+    loop {
+        match ends.pass(50_000) {
+            0 => break,
+            count => sent += count,
+        }
+    }
+    assert!((PIECE_WINDOW..PIECE_WINDOW + MAX_PIECE).contains(&sent), "{sent} bytes");
+    ends.send(&grant(2));
+    ends.pass(1_000);
+    assert_eq!(ends.came, [grant(2)], "a full window does not hold up control messages");
+    ends.tell_back();
+    assert!(ends.pass(50_000) > 0);
+}
+
+#[test]
+fn published_state_and_a_long_installation_take_turns() {
+    let mut ends = Ends::default();
+    ends.send(&install(9_000_000));
+    ends.pass(100_000);
+    ends.send(&update(1, 200_000));
+    ends.send(&update(2, 10));
+    let mut passed = 0;
+    while ends.came.len() < 2 {
+        passed += ends.pass(10_000);
+        ends.tell_back();
+    }
+    assert_eq!(ends.came, [update(1, 200_000), update(2, 10)], "in their order");
+    assert!(passed < 800_000, "{passed}");
+}
+
+#[test]
+fn a_message_with_state_takes_the_place_of_one_that_was_not_begun() {
+    let mut ends = Ends::default();
+    ends.send(&install(5_000_000));
+    ends.pass(100_000);
+    for index in 1..100 {
+        ends.send(&append(index, 4_500_000));
+        assert!(ends.queue.bytes() < 9_700_000, "{}", ends.queue.bytes());
+    }
+    ends.pass_all();
+    assert_eq!(ends.came, [install(5_000_000), append(99, 4_500_000)]);
+}
+
+#[test]
+fn state_that_waits_does_not_count_for_the_bound_of_other_messages() {
+    let mut ends = Ends::default();
+    ends.send(&install(9_000_000));
+    ends.send(&append(1, 9_000_000));
+    for round in 0..1_000 {
+        ends.send(&grant(round));
+    }
+    let mut refused = FrameQueue::default();
+    let long = vec![0; MAXIMUM];
+    refused.push(Lane::Ordered, &long, MAXIMUM).expect("the first of all");
+    assert!(refused.push(Lane::Ordered, &[0; 100], MAXIMUM).is_err());
+    assert!(refused.push(Lane::State, &long, MAXIMUM).is_ok());
+}
+
+#[test]
+fn half_a_message_is_no_message() {
+    let mut ends = Ends::default();
+    ends.send(&install(1_000_000));
+    let mut left = 1_000_000;
+    while left > 0 {
+        left -= ends.pass(left.min(10_000));
+        ends.tell_back();
+        assert!(ends.came.is_empty());
+    }
+    ends.pass_all();
+    assert_eq!(ends.came, [install(1_000_000)]);
+}
+
+#[test]
+fn pieces_that_never_end_are_an_error() {
+    let mut decoder = FrameDecoder::default();
+    let piece = [&(MAX_PIECE as u32 | 2 << 26 | 1 << 28).to_le_bytes()[..], &vec![0; MAX_PIECE]].concat();
+    let fails = (0..=512).any(|_| {
+        decoder.push(&piece);
+        decoder.next_frame().is_err()
+    });
+    assert!(fails);
+    let mut decoder = FrameDecoder::default();
+    decoder.push(b"GET / HTTP/1.1\r\n");
+    assert!(decoder.next_frame().is_err(), "another protocol is told at once");
+}
+
+quickcheck! {
+    fn each_lane_keeps_its_order(sizes: Vec<(u8, u16)>, cuts: Vec<u16>) -> bool {
+        let mut ends = Ends::default();
+        let mut sent = Vec::new();
+        let mut cuts = cuts.iter().cycle();
+        for (place, (kind, size)) in sizes.iter().enumerate() {
+            let (place, size) = (place as u64, usize::from(*size) * 3);
+            let body = if kind % 2 == 0 { update(place, size) } else { grant(place) };
+            ends.send(&body);
+            sent.push(body);
+            ends.pass(usize::from(*cuts.next().unwrap_or(&9)));
+            ends.tell_back();
+        }
+        ends.pass_all();
+        let lane = |bodies: &[Body], lane| -> Vec<Body> {
+            bodies.iter().filter(|body| Lane::of(body) == lane).cloned().collect()
+        };
+        lane(&sent, Lane::Ordered) == lane(&ends.came, Lane::Ordered)
+            && lane(&sent, Lane::Control) == lane(&ends.came, Lane::Control)
+    }
+
+    fn no_stream_makes_the_decoder_panic(bytes: Vec<u8>) -> bool {
+        let mut decoder = FrameDecoder::default();
+        decoder.push(&bytes);
+        while let Ok(Some(_)) = decoder.next_frame() {}
+        true
+    }
+}
