--- a/crates/quillpulley/tests/control/api.rs
+++ b/crates/quillpulley/tests/control/api.rs
@@ -105,6 +105,10 @@
 
     let told = exchange(call("GET", "/v1/Config.Get"), Call::ReadConfiguration, Answer::NoConfiguration);
     assert_eq!(told.status, 404);
+
+    let status = Answer::Status(br#"{"Role":"follower"}"#.to_vec());
+    let told = exchange(call("GET", "/v1/Control.Status"), Call::ReadStatus, status);
+    assert_eq!((told.status, told.body.as_str()), (200, r#"{"Role":"follower"}"#));
 }
 
 #[test]
--- a/crates/quillpulley/tests/control/cluster.rs
+++ b/crates/quillpulley/tests/control/cluster.rs
@@ -120,13 +120,15 @@
             "NodeName = \"core-{index}\"\nIp = \"{address}\"\nZone = \"zone-{index}\"\nRegion = \"region-{index}\"\n\
              PortRange = [{LINK_PORT}, {}]\nSeeds = [{}]\nBootstrap = {}\nDataDir = \"{}\"\n\
              [Listen]\nControl = \"{}\"\nDirectory = \"{address}:{DIRECTORY_PORT}\"\n\
-             [FaultTolerance]\nMachines = {}\n{}",
+             [FaultTolerance]\nMachines = {}\nZones = {}\nRegions = {}\n{}",
             LINK_PORT + 15,
             seeds.join(", "),
             machine.bootstrap,
             machine.folder.display(),
             self.control(index),
             (self.machines.len() - 1) / 2,
+            (self.machines.len() - 1) / 2,
+            (self.machines.len() - 1) / 2,
             platform.unwrap_or_default(),
         )
     }
@@ -312,6 +314,11 @@
         Call { method: "GET", path: "/v1/Config.Get".to_string(), base: None, body: Vec::new() }
     }
 
+    /// Asks a process what it knows of the core.
+    pub fn status() -> Self {
+        Call { method: "GET", path: "/v1/Control.Status".to_string(), base: None, body: Vec::new() }
+    }
+
     /// Replaces the configuration.
     pub fn replace(base: u64, body: Vec<u8>) -> Self {
         Call { method: "POST", path: "/v1/Config.Replace".to_string(), base: Some(base), body }
--- a/crates/quillpulley/tests/control/processes.rs
+++ b/crates/quillpulley/tests/control/processes.rs
@@ -184,3 +184,53 @@
     cluster.run(0);
     assert_eq!(cluster.wait(0).code(), Some(2));
 }
+
+#[test]
+fn a_process_that_is_told_to_end_stays_until_another_has_its_data() {
+    let mut cluster = Cluster::start(3, None);
+    assert_eq!(replace(&mut cluster, 0, "5"), 200);
+    let primary = cluster.primary();
+    let (wiped, leaving) = ((primary + 1) % 3, (primary + 2) % 3);
+    cluster.kill(wiped);
+    cluster.wipe(wiped);
+    assert_eq!(replace(&mut cluster, 5, "6"), 200);
+    cluster.signal(leaving, "-TERM");
+    cluster.until("a status that says so", |cluster| {
+        let told = cluster.call(leaving, &Call::status())?;
+        String::from_utf8_lossy(&told.body).contains(r#""Role":"leaving""#).then_some(())
+    });
+    // Of the three disks only two have the configuration: an order is still taken by both.
+    assert_eq!(replace(&mut cluster, 6, "7"), 200);
+    cluster.run(wiped);
+    cluster.wait_for_member(wiped);
+    assert!(cluster.wait(leaving).success());
+    cluster.kill(primary);
+    cluster.run(primary);
+    assert_eq!(cluster.order(&Call::get()).body, configuration("7"));
+}
+
+#[test]
+fn every_process_tells_its_status() {
+    let mut cluster = Cluster::start(3, None);
+    let primary = cluster.primary();
+    let is_covered = |cluster: &Cluster| {
+        let told = cluster.call(primary, &Call::status())?;
+        let text = String::from_utf8(told.body).ok()?;
+        text.contains(r#""Covered":true"#).then_some(text)
+    };
+    let text = cluster.until("every loss covered", is_covered);
+    assert!(text.contains(r#""Role":"primary""#), "{text}");
+    for index in 0..3 {
+        let place = format!(r#"{{"Address":"{}","Zone":"zone-{index}""#, cluster.address(index));
+        assert!(text.contains(&place), "{text}");
+        let told = cluster.call(index, &Call::status()).expect("an answer");
+        assert_eq!(told.status, 200);
+    }
+    cluster.kill((primary + 1) % 3);
+    cluster.kill((primary + 2) % 3);
+    // Without the lease it still answers, and names no primary.
+    cluster.until("a status without a primary", |cluster| {
+        let told = cluster.call(primary, &Call::status())?;
+        String::from_utf8_lossy(&told.body).contains(r#""Primary":null"#).then_some(())
+    });
+}
--- a/crates/replication/src/cover.rs
+++ b/crates/replication/src/cover.rs
@@ -122,7 +122,7 @@
     }
 
     /// The nodes that answer and are not about to end.
-    fn answering_nodes(&self) -> Vec<NodeId> {
+    pub(crate) fn answering_nodes(&self) -> Vec<NodeId> {
         let mut nodes = self.peers.connected();
         nodes.retain(|node| {
             let answers = self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now));
--- a/crates/replication/src/formation.rs
+++ b/crates/replication/src/formation.rs
@@ -67,14 +67,14 @@
             Some(plan) => plan.members.clone(),
             None => members(&change.highest).into_iter().chain(electors(&change.highest)).collect(),
         };
-        // Nodes that are about to end come in only if there are too few others.
-        let leaving = |node: &NodeId| self.peers.is_leaving(self.now, *node);
-        let staying = change.awaited.iter().filter(|node| !leaving(node)).count();
-        if change.plan.is_none() || staying > self.options.tolerated_machines {
-            change.awaited.retain(|node| !leaving(node));
-        }
+        // Nodes that are about to end come in only if they are needed beside the others.
+        change.awaited.retain(|node| !self.peers.is_leaving(self.now, *node));
         change.targets = change.awaited.clone();
         change.targets.insert(me);
+        let needed = self.leaving_needed();
+        let Some(change) = &mut self.change else { return };
+        change.awaited.extend(&needed);
+        change.targets.extend(&needed);
         change.end = self.log.append(change.epoch, Vec::new());
         let Some(entry) = self.log.get(change.end.index).cloned() else { return };
         let (epoch, end) = (change.epoch, change.end);
@@ -94,13 +94,13 @@
     /// An elected node takes every node that it reaches as a member: it may need them for the tolerated losses. A
     /// active primary does so when planned members fail it.
     fn add_targets(&mut self) {
-        let needs_leaving = self.needs_leaving();
+        let needed = self.leaving_needed();
         let (Some(change), Some(replicator)) = (&mut self.change, &mut self.replicator) else { return };
         if change.plan.is_some() && self.now < change.since + self.options.drop_after {
             return;
         }
         for node in self.peers.connected() {
-            let stays = needs_leaving || !self.peers.is_leaving(self.now, node);
+            let stays = needed.contains(&node) || !self.peers.is_leaving(self.now, node);
             if stays && !change.refused.contains(&node) && change.targets.insert(node) {
                 let last = self.peers.get(node).map(|peer| peer.last).unwrap_or_default();
                 replicator.add(node, last);
@@ -108,16 +108,6 @@
         }
     }
 
-    /// Whether there are too few members without nodes that are about to end.
-    fn needs_leaving(&self) -> bool {
-        let Some(change) = &self.change else { return false };
-        let stays = |node: &&NodeId| {
-            let is_there = self.peers.is_connected(**node) || **node == self.options.me;
-            is_there && !self.peers.is_leaving(self.now, **node)
-        };
-        change.targets.iter().filter(stays).count() <= self.options.tolerated_machines
-    }
-
     /// Counts this node's own log like that of any member, once it is durable.
     pub(crate) fn acknowledge_own(&mut self, epoch: u64, last: Position) {
         let ack = AppendAck { epoch, last, matched: true };
@@ -197,12 +187,12 @@
         }
     }
 
-    /// A node is about to end. It comes into the view only if there are too few others.
+    /// A node is about to end. It comes into the view only if it is needed beside the others.
     fn go_on_without_leaving(&mut self, node: NodeId) {
-        let needs_leaving = self.needs_leaving();
+        let is_needed = self.leaving_needed().contains(&node);
         let Some(change) = self.change.as_mut().filter(|change| change.phase == Phase::Sync) else { return };
-        change.awaited.remove(&node);
-        if !needs_leaving {
+        if !is_needed {
+            change.awaited.remove(&node);
             change.targets.remove(&node);
         }
         self.check_sync();
@@ -257,7 +247,8 @@
         let mut synced: BTreeSet<NodeId> = change.targets.iter().copied().filter(has_all).collect();
         let leaving = |node: &NodeId| self.peers.is_leaving(self.now, *node);
         if synced.iter().filter(|node| !leaving(node)).count() > self.options.tolerated_machines {
-            synced.retain(|node| !leaving(node));
+            let needed = self.leaving_needed();
+            synced.retain(|node| !leaving(node) || needed.contains(node));
         }
         let grace = if change.plan.is_some() { self.options.drop_after } else { SYNC_GRACE };
         let in_grace = self.now < change.since + grace;
--- a/crates/replication/src/leaving.rs
+++ b/crates/replication/src/leaving.rs
@@ -1,6 +1,7 @@
 //! The end of a process: what it hands over, and when its data stands elsewhere.
 
 use quillpulley_wire::{Body, Decline, NodeId, View};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::quorum::members;
@@ -68,6 +69,65 @@
         !members.contains(&me) && members.len() > self.options.tolerated_machines && is_spare_witness
     }
 
+    /// The members that are about to end and that a primary keeps beside those that stay: as many as are needed for
+    /// the loss of machines, and those whose place is needed until a node that is connected takes it.
+    pub(crate) fn leaving_to_keep(
+        &self,
+        members: &BTreeSet<NodeId>,
+        staying: &BTreeSet<NodeId>,
+    ) -> BTreeSet<NodeId> {
+        let is_there = |node: &&NodeId| {
+            let answers = self.peers.get(**node).is_some_and(|peer| peer.is_answering(self.now));
+            answers && self.peers.is_leaving(self.now, **node)
+        };
+        let leaving: BTreeSet<NodeId> = members.iter().filter(is_there).copied().collect();
+        let missing = (self.options.tolerated_machines + 1).saturating_sub(staying.len());
+        if missing > leaving.len() {
+            return BTreeSet::new();
+        }
+        let mut kept: BTreeSet<NodeId> = leaving.iter().take(missing).copied().collect();
+        let with_kept: BTreeSet<NodeId> = staying.union(&kept).copied().collect();
+        let mut with_joiners = with_kept.clone();
+        with_joiners.extend(self.answering_nodes());
+        if self.exposed_kinds(&with_joiners) < self.exposed_kinds(&with_kept) {
+            kept.extend(self.needed_by_place(&with_kept, &leaving));
+        }
+        kept
+    }
+
+    /// The nodes that are about to end and that have to be members of the view under way, beside its other targets.
+    pub(crate) fn leaving_needed(&self) -> BTreeSet<NodeId> {
+        let Some(change) = &self.change else { return BTreeSet::new() };
+        let is_leaving = |node: &NodeId| self.peers.is_leaving(self.now, *node);
+        if self.leadership.is_some() {
+            return self.best_plan().members.into_iter().filter(is_leaving).collect();
+        }
+        let is_there = |node: &NodeId| self.peers.is_connected(*node) || *node == self.options.me;
+        let stays = |node: &&NodeId| is_there(node) && !is_leaving(node);
+        let staying: BTreeSet<NodeId> = change.targets.iter().filter(stays).copied().collect();
+        let leaving: BTreeSet<NodeId> = self.peers.connected().into_iter().filter(is_leaving).collect();
+        if staying.len() <= self.options.tolerated_machines {
+            return leaving;
+        }
+        self.needed_by_place(&staying, &leaving)
+    }
+
+    /// Those with which more losses of places are survived.
+    fn needed_by_place(&self, staying: &BTreeSet<NodeId>, leaving: &BTreeSet<NodeId>) -> BTreeSet<NodeId> {
+        let exposed = self.exposed_kinds(staying);
+        let helps = |node: &&NodeId| {
+            let mut with_node = staying.clone();
+            with_node.insert(**node);
+            self.exposed_kinds(&with_node) < exposed
+        };
+        leaving.iter().filter(helps).copied().collect()
+    }
+
+    fn exposed_kinds(&self, members: &BTreeSet<NodeId>) -> usize {
+        let members: Vec<NodeId> = members.iter().copied().collect();
+        self.member_exposure(&members).count()
+    }
+
     /// Whether a process that was told to stop may end: its data stands elsewhere. Until then it should go on, for as
     /// long as it is given.
     ///
--- a/crates/replication/src/reconfiguration.rs
+++ b/crates/replication/src/reconfiguration.rs
@@ -48,7 +48,7 @@
             before.iter().copied().filter(|node| !self.is_lost(*node)).collect();
         let ready: Vec<NodeId> = self.joiners().into_iter().filter(|node| self.is_ready(*node)).collect();
         after.extend(&ready);
-        self.keep_leaving(&before, &mut after);
+        after.extend(self.leaving_to_keep(&before, &after));
         if after.len() <= self.options.tolerated_machines {
             after.extend(before);
         }
@@ -56,19 +56,6 @@
         Plan { members: after, witnesses, incoming }
     }
 
-    /// Keeps as many of the members that are about to end as are needed beside the others. They end later.
-    fn keep_leaving(&self, before: &BTreeSet<NodeId>, after: &mut BTreeSet<NodeId>) {
-        let is_there = |node: &&NodeId| {
-            let answers = self.peers.get(**node).is_some_and(|peer| peer.is_answering(self.now));
-            answers && self.peers.is_leaving(self.now, **node)
-        };
-        let missing = (self.options.tolerated_machines + 1).saturating_sub(after.len());
-        let kept: Vec<NodeId> = before.iter().filter(is_there).take(missing).copied().collect();
-        if kept.len() == missing {
-            after.extend(kept);
-        }
-    }
-
     /// Whether a member does not do its part any more.
     fn is_lost(&self, node: NodeId) -> bool {
         let Some(leadership) = &self.leadership else { return false };
--- a/crates/replication/tests/replication/scenarios/places.rs
+++ b/crates/replication/tests/replication/scenarios/places.rs
@@ -17,6 +17,7 @@
 const A: (&str, &str) = ("zone-a", "east");
 const A2: (&str, &str) = ("zone-a2", "east");
 const B: (&str, &str) = ("zone-b", "west");
+const B2: (&str, &str) = ("zone-b2", "west");
 const C: (&str, &str) = ("zone-c", "north");
 
 /// Machines at those places, of which one, or one zone, or one region may be lost.
@@ -88,6 +89,35 @@
     }
 }
 
+#[test]
+fn an_order_waits_only_shortly_for_a_node_that_answers_and_cannot_store() {
+    for seed in 0..SEEDS {
+        let mut world = world(seed, &[A, A2, B]);
+        world.kill(2, false);
+        world.run_for(2500);
+        world.start(2);
+        // Once it has promised the epoch it goes on answering the primary.
+        let epoch = |world: &World| {
+            let leader = world.leader().and_then(|leader| world.machines[leader].replica.as_ref())?;
+            leader.view().map(|view| view.epoch)
+        };
+        let has_promised = |world: &World| {
+            let record = world.machines[2].disk.record.as_ref();
+            record.map(|record| record.promised) == epoch(world)
+        };
+        assert!(world.run_until(1000, has_promised));
+        world.set_disk(2, DiskMode::Hangs);
+        world.run_for(200);
+        let begin = world.now;
+        assert!(acknowledged(&mut world, ACKNOWLEDGED_WITHIN_MS - 2000), "{}", world.trace.join("\n"));
+        assert!(world.now > begin + 500, "it did not wait");
+        // The wait is not repeated for every order.
+        for _ in 0..5 {
+            assert!(acknowledged(&mut world, 200), "{}", world.trace.join("\n"));
+        }
+    }
+}
+
 #[test]
 fn a_core_in_one_region_goes_on_in_a_degraded_state() {
     for seed in 0..SEEDS {
@@ -125,6 +155,49 @@
     }
 }
 
+/// How long it takes until a machine that is told to stop may end.
+fn time_to_end(world: &mut World, machine: usize) -> u64 {
+    let told_at = world.now;
+    world.stop(machine);
+    assert!(world.run_until(7000, |world| world.may_end(machine)), "{}", world.trace.join("\n"));
+    world.now - told_at
+}
+
+#[test]
+fn the_only_member_of_a_region_ends_once_its_successor_has_come_in() {
+    for seed in 0..SEEDS {
+        for delay in (0..900).step_by(60) {
+            let mut world = world(seed, &[A, A2, B]);
+            let order = world.propose(world.leader().expect("a primary"));
+            world.options.places.push(B2);
+            let successor = world.add_spare();
+            world.run_for(200 + delay);
+            time_to_end(&mut world, 2);
+            world.remove(2);
+            assert!(world.is_acknowledged(order), "{}", world.trace.join("\n"));
+            // Both machines of the other region lose their disks now: the successor has what was acknowledged.
+            let leader = world.leader().expect("a primary");
+            let view = world.machines[leader].replica.as_ref().and_then(|replica| replica.view()).cloned();
+            let successor = world.machines[successor].id;
+            let names =
+                view.is_some_and(|view| view.primary == successor || view.backups.contains(&successor));
+            assert!(names, "{}", world.trace.join("\n"));
+        }
+    }
+}
+
+#[test]
+fn the_only_member_of_a_region_ends_soon_where_it_has_no_successor() {
+    for seed in 0..SEEDS {
+        let mut world = world(seed, &[A, A2, B]);
+        let time = time_to_end(&mut world, 2);
+        assert!(time < 1000, "{time} ms\n{}", world.trace.join("\n"));
+        world.kill(2, false);
+        world.run_for(500);
+        assert!(acknowledged(&mut world, 1000), "{}", world.trace.join("\n"));
+    }
+}
+
 /// What a replica says of a view whose nodes stand at these places, as (machines, zones, regions) of the members
 /// and of the witnesses.
 fn exposure_of(places: &[(u8, u8)], tolerated: (usize, usize, usize)) -> [[bool; 3]; 2] {
