Catch a witness set changed in one step and a joiner counted early; places by address

Cause: the witness of a disk that was lost counted as standing nowhere, so a primary said degraded for a moment. Change: a node whose incarnation is unknown stands where its machine does.

--- a/crates/replication/src/cover.rs
+++ b/crates/replication/src/cover.rs
@@ -52,12 +52,13 @@
 }
 
 impl<S: StateMachine> Replica<S> {
-    /// Where a node stands, if that is known.
+    /// Where a node stands, if that is known. One that has lost its disk and has come back as another stands where
+    /// it stood.
     pub fn place_of(&self, node: NodeId) -> Option<&Place> {
         if node == self.options.me {
             return Some(&self.place);
         }
-        self.peers.get(node)?.place.as_ref()
+        self.peers.place_at(node)
     }
 
     /// The tolerated losses that the newest known view does not survive, as far as the places of its nodes are
--- a/crates/replication/src/peers.rs
+++ b/crates/replication/src/peers.rs
@@ -89,6 +89,13 @@
         self.peers.get(&node)
     }
 
+    /// Where the machine of a node stands, whatever incarnation told it.
+    pub fn place_at(&self, node: NodeId) -> Option<&Place> {
+        let own = self.get(node).and_then(|peer| peer.place.as_ref());
+        let same_machine = |(other, _): &(&NodeId, &Peer)| other.ip == node.ip;
+        own.or_else(|| self.peers.iter().filter(same_machine).find_map(|(_, peer)| peer.place.as_ref()))
+    }
+
     pub fn get_mut(&mut self, node: NodeId) -> &mut Peer {
         self.peers.entry(node).or_default()
     }
--- a/crates/replication/tests/replication/scenarios/second_loss.rs
+++ b/crates/replication/tests/replication/scenarios/second_loss.rs
@@ -1,7 +1,10 @@
 //! A second loss right after a repair or a replacement, and at every step of one.
 
+use quillpulley_replication::Faults;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
 use super::{three_and_a_spare, Settled, SEEDS};
-use crate::harness::World;
+use crate::harness::{World, WorldOptions};
 
 /// Stops a machine, and takes it away for good as soon as it may end.
 fn retire(world: &mut World, machine: usize) {
@@ -155,3 +158,95 @@
         }
     }
 }
+
+fn started(faults: Faults, seed: u64) -> World {
+    let mut world = World::first_start(WorldOptions { seed, faults, ..WorldOptions::default() }, 3, 3);
+    let is_whole = |world: &World| world.members().len() == 3;
+    assert!(world.run_until(6000, is_whole), "{}", world.trace.join("\n"));
+    world.run_for(500);
+    world
+}
+
+/// A backup comes back with an empty disk, and at some moment the primary hands over.
+fn hand_over_while_a_wiped_node_returns(faults: Faults, delay: u64) {
+    let mut world = started(faults, delay);
+    let leader = world.leader().expect("a primary");
+    let backup = (leader + 1) % 3;
+    for _ in 0..3 {
+        world.propose(leader);
+        world.run_for(150);
+    }
+    world.kill(backup, true);
+    world.wipe(backup);
+    world.run_for(1500);
+    world.start(backup);
+    world.run_for(delay);
+    world.stop(leader);
+    world.run_for(2000);
+    serves_again(&mut world);
+}
+
+/// A lost witness is replaced, and in the middle of it the other backup is cut off together with the lost one, which
+/// comes back: the two are a majority of the witnesses before the change.
+fn split_at_a_replacement(faults: Faults, delay: u64) {
+    let mut world = started(faults, delay);
+    let leader = world.leader().expect("a primary");
+    let (backup, lost) = ((leader + 1) % 3, (leader + 2) % 3);
+    world.kill(lost, true);
+    world.run_for(900);
+    let spare = world.add_spare();
+    world.run_for(300 + delay);
+    for other in [leader, spare] {
+        for (from, to) in [(backup, other), (other, backup), (lost, other), (other, lost)] {
+            world.network.cut(from, to);
+        }
+    }
+    world.notice_cuts();
+    world.start(lost);
+    for _ in 0..30 {
+        for machine in [leader, backup] {
+            if world.is_running(machine) {
+                world.propose(machine);
+            }
+        }
+        world.run_for(100);
+    }
+    world.calm();
+    world.run_for(4000);
+    serves_again(&mut world);
+}
+
+/// Whether an invariant is broken, and not only the service late, with some delay.
+fn is_caught(faults: Faults, play: fn(Faults, u64)) -> bool {
+    (0..1000).step_by(10).any(|delay| {
+        let played = catch_unwind(AssertUnwindSafe(|| play(faults, delay)));
+        let message = played.err().and_then(|panic| panic.downcast_ref::<String>().cloned());
+        message.is_some_and(|text| ["lost", "two ", "gap", "differ"].iter().any(|word| text.contains(word)))
+    })
+}
+
+#[test]
+fn a_wiped_node_that_returns_at_a_handover_is_no_member_before_it_holds_the_log() {
+    for delay in (0..1000).step_by(10) {
+        hand_over_while_a_wiped_node_returns(Faults::default(), delay);
+    }
+}
+
+#[test]
+fn the_witnesses_before_a_replacement_cannot_go_their_own_way() {
+    for delay in (0..1000).step_by(10) {
+        split_at_a_replacement(Faults::default(), delay);
+    }
+}
+
+#[test]
+fn a_set_of_witnesses_changed_in_one_step_is_caught() {
+    let faults = Faults { change_witnesses_in_one_step: true, ..Faults::default() };
+    assert!(is_caught(faults, split_at_a_replacement));
+}
+
+#[test]
+fn a_joiner_counted_before_it_holds_the_log_is_caught() {
+    let faults = Faults { count_joiner_early: true, ..Faults::default() };
+    assert!(is_caught(faults, hand_over_while_a_wiped_node_returns));
+}
