Check long seeded runs after every event, and catch four more built-in faults

The random runs were 40 steps long and knew no resends, no questions and no regions. Long runs now have five machines in five zones and three regions, any two of which may lose their disks, with replaced and leaving machines, cuts of regions, one-way cuts, freezes, slow, hanging and full disks, clocks that drift by 3 %, orders that are sent again, two orders on one base, and questions about what is in force. The invariants stand in the harness: besides those that stood, no state goes back, one order is taken on a base, an order is taken once and never refused afterwards, what is in force is stated only under the lease, and each view has more members than losses are tolerated.

Found: a witness set of odd size kept any number of lost witnesses. Two machines that were replaced fast left five of seven, and the loss of two more disks ended the system for good. The primary now removes a lost witness, one at a time, also from an odd set, as long as it stays large enough for the losses to tolerate (two_disks_are_lost_after_two_machines_were_replaced_fast; fails without the change).

The harness's invariants changed with resends: what was 'refused' is now a message that was not appended, since its order may come again in another message. The list of orders in the checker is checked from where it was checked last.

The test plays 24 runs.

--- a/crates/replication/src/election.rs
+++ b/crates/replication/src/election.rs
@@ -191,7 +191,8 @@
             return;
         }
         let highest = &change.highest;
-        if members(highest).is_empty() || is_member(highest, me) {
+        let is_up_to_date = members(highest).is_empty() || is_member(highest, me);
+        if is_up_to_date || self.options.faults.elect_from_stale_snapshot {
             self.begin_sync();
         } else {
             change.enter(Phase::Fetch, self.now);
--- a/crates/replication/src/formation.rs
+++ b/crates/replication/src/formation.rs
@@ -7,7 +7,7 @@
 use crate::election::ASK_AGAIN;
 use crate::event::Write;
 use crate::progress::Replicator;
-use crate::quorum::{electors, members};
+use crate::quorum::{electors, is_member, members};
 use crate::replica::Replica;
 use crate::view_change::{Phase, ViewChange};
 use crate::StateMachine;
@@ -240,9 +240,10 @@
     fn check_sync(&mut self) {
         let Some(change) = self.change.as_ref().filter(|change| change.phase == Phase::Sync) else { return };
         let Some(replicator) = &self.replicator else { return };
-        let early = self.options.faults.count_joiner_early;
         let has_all = |node: &NodeId| {
-            early || replicator.acked_index(*node).is_some_and(|index| index >= change.end.index)
+            let is_counted_early =
+                self.options.faults.count_joiner_early && !is_member(&change.highest, *node);
+            is_counted_early || replicator.acked_index(*node).is_some_and(|index| index >= change.end.index)
         };
         let mut synced: BTreeSet<NodeId> = change.targets.iter().copied().filter(has_all).collect();
         let leaving = |node: &NodeId| self.peers.is_leaving(self.now, *node);
@@ -273,8 +274,13 @@
             // Both sets still decide, and so both stay.
             (highest.witnesses.clone(), highest.previous_witnesses.clone())
         };
-        let one_step = self.options.faults.change_witnesses_in_one_step;
-        let previous_witnesses = if one_step { witnesses.clone() } else { previous_witnesses };
+        let faults = &self.options.faults;
+        let witnesses = match faults.replace_all_witnesses {
+            true => synced.iter().copied().collect(),
+            false => witnesses,
+        };
+        let is_one_step = faults.change_witnesses_in_one_step || faults.replace_all_witnesses;
+        let previous_witnesses = if is_one_step { witnesses.clone() } else { previous_witnesses };
         let view = View {
             epoch: change.epoch,
             primary: me,
--- a/crates/replication/src/options.rs
+++ b/crates/replication/src/options.rs
@@ -73,10 +73,16 @@
     pub promise_under_lease: bool,
     /// A witness answers before its record is on disk.
     pub answer_before_sync: bool,
-    /// A primary or candidate counts a node as a member before that holds the log.
+    /// A node that is to become a member counts as one before it holds the data.
     pub count_joiner_early: bool,
     /// A primary lets the new set of witnesses decide alone, without the agreement of the one before.
     pub change_witnesses_in_one_step: bool,
+    /// All members of a view become its witnesses at once, without the agreement of the old set.
+    pub replace_all_witnesses: bool,
+    /// A witness that is no member of the newest view leads with the state that it has, and fetches none.
+    pub elect_from_stale_snapshot: bool,
+    /// Whoever leads answers what is in force, without a look at its lease at that moment.
+    pub answer_without_lease_check: bool,
 }
 
 /// What a replica finds on its disk.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -181,6 +181,13 @@
         self.holds_lease(now).then(|| self.lease_end()).flatten()
     }
 
+    /// Whether it may state what is in force. Ask right before the answer leaves: a process may have stood still
+    /// since the question came.
+    pub fn may_answer(&self, now: Duration) -> bool {
+        let unchecked = self.options.faults.answer_without_lease_check && self.leadership.is_some();
+        unchecked || self.holds_lease(now)
+    }
+
     /// The newest view that is known: its epoch, members and witnesses. None before the first.
     pub fn view(&self) -> Option<&View> {
         let known = self.witness.view().filter(|view| view.epoch > BOOTSTRAP_EPOCH);
--- a/crates/replication/src/witness_set.rs
+++ b/crates/replication/src/witness_set.rs
@@ -9,6 +9,9 @@
 
 /// A witness that was silent for so long is replaced when another node comes in.
 const REPLACE_WITNESS_AFTER: Duration = Duration::from_secs(1);
+/// Two witnesses that were silent for so long are removed, one after the other, from a set that is larger than the
+/// tolerated losses need.
+const REMOVE_SPARE_AFTER: Duration = Duration::from_secs(3);
 
 impl<S: StateMachine> Replica<S> {
     /// The next set of witnesses, with at most one in or out, and the one that comes in.
@@ -52,12 +55,22 @@
     }
 
     /// Removes a witness that is gone from a set of even size: that makes the majority smaller, and so the others
-    /// survive one loss more.
+    /// survive one loss more. From a set of odd size one is removed if two are gone that it can do without.
     fn remove_one(&self, now: &[NodeId]) -> Option<Vec<NodeId>> {
-        if !now.len().is_multiple_of(2) {
-            return None;
-        }
-        self.gone(now, self.options.drop_after).map(|index| without(now, index))
+        let silent_for = match now.len().is_multiple_of(2) {
+            true => self.options.drop_after,
+            false if self.has_two_to_spare(now) => REMOVE_SPARE_AFTER,
+            false => return None,
+        };
+        self.gone(now, silent_for).map(|index| without(now, index))
+    }
+
+    /// Whether two witnesses are gone without whom the set would still be large enough. They would count against the
+    /// next losses.
+    fn has_two_to_spare(&self, now: &[NodeId]) -> bool {
+        let is_large = now.len() > 2 * self.options.tolerated_machines + 1;
+        let gone = now.iter().filter(|node| self.is_gone(**node, REMOVE_SPARE_AFTER)).count();
+        is_large && gone >= 2
     }
 
     /// Swaps or removes a witness if the set then keeps its majority after losses of places that it does not
@@ -99,11 +112,13 @@
 
     /// A witness that is about to end, or has been silent for longer than `time`.
     fn gone(&self, witnesses: &[NodeId], time: Duration) -> Option<usize> {
-        let leadership = self.leadership.as_ref()?;
-        let is_gone = |node: &NodeId| {
-            self.peers.is_leaving(self.now, *node) || self.silent_for(*node, leadership.elected_at) > time
-        };
-        witnesses.iter().position(|node| *node != self.options.me && is_gone(node))
+        witnesses.iter().position(|node| self.is_gone(*node, time))
+    }
+
+    fn is_gone(&self, node: NodeId, time: Duration) -> bool {
+        let Some(leadership) = &self.leadership else { return false };
+        let is_silent = || self.silent_for(node, leadership.elected_at) > time;
+        node != self.options.me && (self.peers.is_leaving(self.now, node) || is_silent())
     }
 
     /// Whether a node answers that is to become a witness.
--- a/crates/replication/tests/replication/broken.rs
+++ b/crates/replication/tests/replication/broken.rs
@@ -5,6 +5,8 @@
 
 use crate::harness::WorldOptions;
 use crate::random::{check, Schedule};
+use crate::scenarios::{operators, Settled};
+use crate::seeded;
 
 /// How many schedules are played at most.
 const SCHEDULES: u64 = 2000;
@@ -25,7 +27,9 @@
 
 /// Whether it is more than slowness.
 fn is_about_safety(message: &str) -> bool {
-    ["lost", "two", "gap", "differ"].iter().any(|word| message.contains(word))
+    ["lost", "two", "gap", "differ", "goes back", "lacks", "without the lease"]
+        .iter()
+        .any(|word| message.contains(word))
 }
 
 fn with_faults(faults: Faults) -> WorldOptions {
@@ -61,3 +65,45 @@
     let options = with_faults(Faults { answer_before_sync: true, ..Faults::default() });
     assert!(first_failure(&options).is_some());
 }
+
+/// How many long runs are played at most.
+const RUNS: u64 = 40;
+const STEPS: u64 = 1000;
+
+/// What the first long run that breaks an invariant says.
+fn first_failure_of_a_long_run(faults: Faults) -> Option<String> {
+    (0..RUNS).find_map(|seed| {
+        let message = seeded::failure(seed, STEPS, &with_faults(faults))?;
+        println!("run {seed}: {message}");
+        is_about_safety(&message).then_some(message)
+    })
+}
+
+#[test]
+fn a_joining_member_that_is_counted_early_is_caught() {
+    let faults = Faults { count_joiner_early: true, ..Faults::default() };
+    assert!(first_failure_of_a_long_run(faults).is_some_and(|message| message.contains("lost")));
+}
+
+#[test]
+fn witnesses_that_are_all_replaced_at_once_are_caught() {
+    let faults = Faults { replace_all_witnesses: true, ..Faults::default() };
+    assert!(first_failure_of_a_long_run(faults).is_some());
+}
+
+#[test]
+fn a_leader_from_a_stale_snapshot_is_caught() {
+    let faults = Faults { elect_from_stale_snapshot: true, ..Faults::default() };
+    assert!(first_failure_of_a_long_run(faults).is_some());
+}
+
+#[test]
+fn an_answer_without_a_look_at_the_lease_is_caught() {
+    let faults = Faults { answer_without_lease_check: true, ..Faults::default() };
+    let message = first_failure_of_a_long_run(faults);
+    assert!(message.is_some_and(|message| message.contains("an answer")));
+    let stands_still = || Settled::with(with_faults(faults), ["P", "B", "C"]).play(operators::STANDS_STILL);
+    let panic = catch_unwind(stands_still).expect_err("an answer from the past");
+    let message = panic.downcast_ref::<String>().cloned().unwrap_or_default();
+    assert!(message.contains("an answer lacks the acknowledged order"), "{message}");
+}
--- a/crates/replication/tests/replication/harness/disk.rs
+++ b/crates/replication/tests/replication/harness/disk.rs
@@ -8,6 +8,8 @@
 pub enum DiskMode {
     #[default]
     Good,
+    /// Writes take many times longer.
+    Slow,
     /// Writes wait until the disk is good again.
     Hangs,
     /// Writes fail.
--- a/crates/replication/tests/replication/harness/durability.rs
+++ b/crates/replication/tests/replication/harness/durability.rs
@@ -1,5 +1,6 @@
 //! What must hold of the disks at every moment: whichever majority of witnesses decides next, all that was
-//! acknowledged is with every member of the view from which it would go on.
+//! acknowledged is with every member of the view from which it would go on, and these are more than the losses to
+//! tolerate. So a copy is left, also if as many disks as that are lost at once.
 
 use quillpulley_wire::{NodeId, Position, View};
 use std::collections::BTreeSet;
@@ -20,22 +21,27 @@
 
     /// Whether its log holds the entry at that position.
     fn holds(&self, position: Position) -> bool {
-        let covered = self.disk.snapshot.as_ref().map_or(0, |(last, _)| last.index);
         let is_entry =
             |entry: &quillpulley_wire::Entry| entry.index == position.index && entry.epoch == position.epoch;
-        position.index <= covered || self.disk.entries.iter().any(is_entry)
+        position.index <= self.covered() || self.disk.entries.iter().any(is_entry)
+    }
+
+    /// Up to where its snapshot goes.
+    fn covered(&self) -> u64 {
+        self.disk.snapshot.as_ref().map_or(0, |(last, _)| last.index)
     }
 }
 
 /// What some majority could go on without, if there is one.
-pub fn violation(survivors: &[Survivor], acknowledged: &[Position]) -> Option<String> {
+pub fn violation(survivors: &[Survivor], acknowledged: &[Position], tolerated: usize) -> Option<String> {
     if acknowledged.is_empty() {
         return None;
     }
     (1..1_u32 << survivors.len()).find_map(|subset| {
         let chosen = (0..survivors.len()).filter(|index| subset & (1 << index) != 0);
         let quorum: Vec<Survivor> = chosen.map(|index| survivors[index]).collect();
-        missing_from(&deciding_view(&quorum)?, survivors, acknowledged)
+        let view = deciding_view(&quorum)?;
+        missing_from(&view, survivors, acknowledged).or_else(|| too_few(&view, tolerated))
     })
 }
 
@@ -50,6 +56,12 @@
     decides.then(|| newest.clone())
 }
 
+/// A view with members that could all be lost at once.
+fn too_few(view: &View, tolerated: usize) -> Option<String> {
+    let is_small = view.backups.len() < tolerated;
+    is_small.then(|| format!("all that was acknowledged could be lost with {tolerated} members of {view:?}"))
+}
+
 fn missing_from(view: &View, survivors: &[Survivor], acknowledged: &[Position]) -> Option<String> {
     let is_member = |id: NodeId| view.primary == id || view.backups.contains(&id);
     let members: Vec<&Survivor> = survivors.iter().filter(|survivor| is_member(survivor.id)).collect();
@@ -57,7 +69,10 @@
         return Some(format!("all members of a view that may be the newest are lost: {view:?}"));
     }
     members.into_iter().find_map(|member| {
-        let missing = acknowledged.iter().find(|position| !member.holds(**position))?;
+        // The positions are in the order of their index, and what a snapshot covers is there.
+        let covered = member.covered();
+        let beyond = acknowledged.iter().rev().take_while(|position| position.index > covered);
+        let missing = beyond.filter(|position| !member.holds(**position)).last()?;
         Some(format!("{} could be elected without {missing:?}, which would be lost", member.id))
     })
 }
--- a/crates/replication/tests/replication/harness/faults.rs
+++ b/crates/replication/tests/replication/harness/faults.rs
@@ -9,9 +9,17 @@
 use super::ledger::Ledger;
 use super::network::NetworkOptions;
 use super::world::{
-    address, Happening, Machine, World, WorldOptions, COMPACT_BYTES, CONNECT_MS, DISK_MS, NOTICE_MS,
+    address, Happening, Machine, World, WorldOptions, COMPACT_BYTES, CONNECT_MS, DISK_MS, NOTICE_MS, ZONES,
 };
 
+/// A letter, and from the 27th machine on a number.
+fn name(machine: usize) -> String {
+    match u8::try_from(machine) {
+        Ok(number) if number < 26 => char::from(b'a' + number).to_string(),
+        _ => format!("m{machine}"),
+    }
+}
+
 impl World {
     /// A world whose first `seeds` machines of `count` are the seeds, all started within 300 ms.
     pub fn first_start(options: WorldOptions, count: usize, seeds: usize) -> Self {
@@ -32,7 +40,7 @@
     pub fn add(&mut self, id: NodeId, bootstrap: Option<Vec<NodeId>>) -> usize {
         let number = self.machines.len();
         self.machines.push(Machine {
-            name: char::from(b'a' + number as u8).to_string(),
+            name: name(number),
             id,
             bootstrap,
             disk: DiskImage::default(),
@@ -40,20 +48,30 @@
             replica: None,
             life: 0,
             started_at: 0,
+            clock_rate: 1000,
             frozen: false,
             removed: false,
             held: VecDeque::new(),
             write: None,
             connections: BTreeMap::new(),
             seen: 0,
+            held_orders: 0,
+            held_questions: 0,
+            zone: number % ZONES,
         });
         number
     }
 
     /// Adds a machine at a new address with an empty disk, and starts it.
     pub fn add_spare(&mut self) -> usize {
+        self.add_spare_in(self.machines.len() % ZONES)
+    }
+
+    /// The same, in a zone.
+    pub fn add_spare_in(&mut self, zone: usize) -> usize {
         let incarnation = self.random.u64(1..);
         let number = self.add(NodeId::new(address(self.machines.len()), incarnation), None);
+        self.machines[number].zone = zone;
         self.start(number);
         number
     }
@@ -74,7 +92,10 @@
             faults: self.options.faults,
             ..Options::default()
         };
+        let drift = self.options.clock_drift;
+        let clock_rate = if drift == 0 { 1000 } else { 1000 - drift + self.random.u64(0..=2 * drift) };
         let slot = &mut self.machines[machine];
+        slot.clock_rate = clock_rate;
         assert!(slot.replica.is_none(), "{} runs already", slot.name);
         let recovered = slot.disk.recovered();
         let replica =
@@ -84,6 +105,8 @@
         slot.replica = Some(replica);
         slot.frozen = false;
         slot.seen = 0;
+        slot.held_orders = 0;
+        slot.held_questions = 0;
         let life = slot.life;
         self.note(machine, "starts");
         self.check_state(machine);
@@ -167,6 +190,10 @@
     pub fn wake(&mut self, machine: usize) {
         self.note(machine, "wakes");
         self.machines[machine].frozen = false;
+        // What was about to be written before the process stood still goes first.
+        for _ in 0..std::mem::take(&mut self.machines[machine].held_questions) {
+            self.answer(machine);
+        }
         while let Some(event) = self.machines[machine].held.pop_front() {
             self.handle(machine, event);
         }
--- a/crates/replication/tests/replication/harness/inspect.rs
+++ b/crates/replication/tests/replication/harness/inspect.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::durability::{self, Survivor};
-use super::world::{traces, World};
+use super::world::{traces, Machine, World};
 
 /// How long a machine counts as lost after it was replaced.
 const CATCH_UP_MS: u64 = 4000;
@@ -45,12 +45,12 @@
         (0..self.machines.len()).filter(|machine| !self.machines[*machine].removed).collect()
     }
 
-    /// Orders whose fate was not told by the processes that got them, and that still run.
+    /// Messages with orders whose fate was not told by the processes that got them, and that still run.
     pub fn open_orders(&self) -> Vec<u64> {
-        let is_open = |(order, machine, life): &&(u64, usize, u64)| {
-            self.lives(*machine, *life) && !self.checker.is_settled(*order)
+        let is_open = |(message, machine, life): &&(u64, usize, u64)| {
+            self.lives(*machine, *life) && !self.checker.is_settled(*message)
         };
-        self.proposed.iter().filter(is_open).map(|(order, ..)| *order).collect()
+        self.proposed.iter().filter(is_open).map(|(message, ..)| *message).collect()
     }
 
     /// Where a machine stands.
@@ -146,6 +146,16 @@
         self.checker.acknowledged.contains(&order)
     }
 
+    /// How far the state of a machine is; 0 if it does not run.
+    pub fn applied_index(&self, machine: usize) -> u64 {
+        self.machines[machine].replica.as_ref().map_or(0, Replica::applied_index)
+    }
+
+    /// How many disks were lost so far.
+    pub fn lost_count(&self) -> u64 {
+        self.lost.len() as u64
+    }
+
     pub(super) fn lives(&self, machine: usize, life: u64) -> bool {
         self.machines[machine].replica.is_some() && self.machines[machine].life == life
     }
@@ -165,7 +175,7 @@
         let present = self.machines.iter().filter(|machine| !machine.removed);
         let survivors: Vec<Survivor> =
             present.map(|machine| Survivor { id: machine.id, disk: &machine.disk }).collect();
-        let violation = durability::violation(&survivors, &self.checker.positions);
+        let violation = durability::violation(&survivors, &self.checker.positions, self.options.tolerated);
         assert!(violation.is_none(), "{}", violation.unwrap_or_default());
     }
 
@@ -173,9 +183,10 @@
         let mut holders = Vec::new();
         for machine in 0..self.machines.len() {
             if let Some(Role::Primary { epoch, lease: true }) = self.role(machine) {
-                holders.push((self.machines[machine].name.clone(), epoch));
-                if let Some(replica) = &self.machines[machine].replica {
-                    self.checker.check_nothing_lost(replica.state());
+                let slot = &mut self.machines[machine];
+                holders.push((slot.name.clone(), epoch));
+                if let Some(replica) = &slot.replica {
+                    slot.held_orders = self.checker.check_nothing_lost(replica.state(), slot.held_orders);
                 }
             }
         }
@@ -183,7 +194,8 @@
     }
 
     pub(super) fn local(&self, machine: usize) -> Duration {
-        Duration::from_millis(self.now - self.machines[machine].started_at)
+        let Machine { started_at, clock_rate, .. } = self.machines[machine];
+        Duration::from_micros((self.now - started_at) * clock_rate)
     }
 
     pub fn note(&mut self, machine: usize, what: &str) {
--- a/crates/replication/tests/replication/harness/mod.rs
+++ b/crates/replication/tests/replication/harness/mod.rs
@@ -1,6 +1,7 @@
 //! A world of replicas in virtual time: a network, disks, clocks, and faults in all of them.
 
 pub mod checker;
+mod clients;
 pub mod disk;
 pub mod durability;
 mod faults;
--- a/crates/replication/tests/replication/harness/timeline.rs
+++ b/crates/replication/tests/replication/harness/timeline.rs
@@ -8,10 +8,11 @@
 //! ```
 //!
 //! Times are milliseconds from the begin of the timeline. A cell holds deeds (`start kill power wipe stop freeze
-//! wake hang full good cut join cut-in cut-out cut:B join:B order=N`) and claims (`leads follows member out witness
+//! wake hang slow full good cut join cut-in cut-out cut:B join:B order=N`) and claims (`leads follows member out witness
 //! no-witness
-//! no-lease deposed names:B names-none acked=N open=N`), which must hold at that time. `order=N` proposes an order here, and `acked=N`
-//! and `open=N` say whether it has been acknowledged. A column `*` stands for the machine that leads at the time.
+//! no-lease deposed names:B names-none acked=N open=N refused=N`), which must hold at that time. `order=N` proposes an order here, `again=N` sends
+//! the same order once more, and `acked=N`, `refused=N` and `open=N` say what became of it. `ask` asks what is in
+//! force. A column `*` stands for the machine that leads at the time.
 
 use super::disk::DiskMode;
 use super::world::World;
@@ -84,6 +85,7 @@
             "freeze" => world.freeze(machine),
             "wake" => world.wake(machine),
             "hang" => world.set_disk(machine, DiskMode::Hangs),
+            "slow" => world.set_disk(machine, DiskMode::Slow),
             "full" => world.set_disk(machine, DiskMode::Full),
             "good" => world.set_disk(machine, DiskMode::Good),
             "cut" | "cut-in" | "cut-out" | "join" => {
@@ -97,6 +99,11 @@
                 let number = world.propose(machine);
                 self.orders.insert(argument.parse().expect("a number"), number);
             }
+            "again" => {
+                let number = self.orders[&argument.parse().expect("a number")];
+                world.propose_again(machine, number);
+            }
+            "ask" => world.ask(machine),
             _ => return false,
         }
         true
@@ -137,6 +144,7 @@
             "witness" => world.witnesses().contains(&machine),
             "no-witness" => !world.witnesses().contains(&machine),
             "acked" => acknowledged(),
+            "refused" => world.checker.is_refused(self.orders[&argument.parse().expect("a number")]),
             "open" => !acknowledged(),
             _ => panic!("`{verb}` is neither a deed nor a claim"),
         }
--- a/crates/replication/tests/replication/harness/world.rs
+++ b/crates/replication/tests/replication/harness/world.rs
@@ -11,13 +11,17 @@
 use super::ledger::{Ledger, Order};
 use super::network::{Network, NetworkOptions};
 
+/// Machines stand in so many zones in turn.
+pub const ZONES: usize = 5;
+/// The region of each zone.
+pub const REGION_OF: [usize; ZONES] = [0, 0, 1, 1, 2];
 pub(super) const TICK_MS: u64 = 50;
 /// How long a process takes to notice that a connection is dead, and to make a new one.
 pub(super) const NOTICE_MS: u64 = 1000;
 pub(super) const CONNECT_MS: u64 = 40;
 pub(super) const DISK_MS: u64 = 2;
-/// Orders are longer than they have to be by up to so many bytes.
-const PADDING: usize = 300;
+/// How many times longer a slow disk takes.
+const SLOW_DISK: u64 = 30;
 pub(super) const COMPACT_BYTES: usize = 1500;
 
 #[derive(Clone, Debug)]
@@ -31,6 +35,8 @@
     pub network: NetworkOptions,
     pub faults: Faults,
     pub compact_entries: usize,
+    /// Clocks run up to so many thousandths too fast or too slow.
+    pub clock_drift: u64,
     /// A machine comes back as the same node after its disk was wiped: a fault that has to be caught.
     pub keeps_identity: bool,
 }
@@ -47,6 +53,7 @@
             network,
             faults: Faults::default(),
             compact_entries: 8,
+            clock_drift: 0,
             keeps_identity: false,
         }
     }
@@ -63,6 +70,8 @@
     /// Counts the processes that have run here.
     pub(super) life: u64,
     pub(super) started_at: u64,
+    /// How far its clock comes in a second, in milliseconds.
+    pub(super) clock_rate: u64,
     pub frozen: bool,
     /// It is gone for good.
     pub removed: bool,
@@ -74,6 +83,12 @@
     pub(super) connections: BTreeMap<usize, NodeId>,
     /// How much of the state has been checked.
     pub(super) seen: usize,
+    /// How many acknowledged orders the state is known to hold.
+    pub(super) held_orders: usize,
+    /// Questions that came while the process was frozen.
+    pub(super) held_questions: usize,
+    /// Its zone, of `ZONES`.
+    pub zone: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -83,6 +98,7 @@
     Tick { machine: usize, life: u64 },
     Connect { machine: usize, life: u64, other: usize },
     Notice { machine: usize, life: u64, other: usize, id: NodeId },
+    Answer { machine: usize, life: u64 },
 }
 
 pub struct World {
@@ -92,9 +108,14 @@
     pub network: Network,
     pub checker: Checker,
     pub random: fastrand::Rng,
-    pub(super) next_order: u64,
-    /// Orders, with the machine and the process that got them.
+    /// The orders so far: that of number `n` stands at `n - 1`.
+    pub(super) orders: Vec<Order>,
+    /// For each message with an order, the order.
+    pub(super) messages: Vec<Order>,
+    /// Messages with orders, and the machine and the process that got them.
     pub(super) proposed: Vec<(u64, usize, u64)>,
+    /// How many times it was stated what is in force.
+    pub answers: u64,
     /// Nodes that will never come back, and since when.
     pub(super) lost: Vec<(NodeId, u64)>,
     pub(super) queue: BinaryHeap<Reverse<(u64, u64, Happening)>>,
@@ -116,8 +137,10 @@
             network,
             checker: Checker::default(),
             random: fastrand::Rng::with_seed(options.seed),
-            next_order: 1,
+            orders: Vec::new(),
+            messages: Vec::new(),
             proposed: Vec::new(),
+            answers: 0,
             lost: Vec::new(),
             queue: BinaryHeap::new(),
             sequence: 0,
@@ -126,19 +149,6 @@
         }
     }
 
-    /// Sends an order to a machine, built on its state; returns the order's number.
-    pub fn propose(&mut self, machine: usize) -> u64 {
-        let base = self.machines[machine].replica.as_ref().map_or(0, |replica| replica.state().version());
-        let number = self.next_order;
-        self.next_order += 1;
-        let mut payload = Order { number, base }.payload();
-        payload.resize(payload.len() + self.random.usize(0..=PADDING), 0);
-        self.proposed.push((number, machine, self.machines[machine].life));
-        self.note(machine, &format!("gets order {number} on {base}"));
-        self.handle(machine, Event::Propose { order: number, payload });
-        number
-    }
-
     pub fn run_for(&mut self, milliseconds: u64) {
         self.run_until(milliseconds, |_| false);
     }
@@ -169,6 +179,7 @@
                 }
             }
             Happening::StoreDone { machine, life, ticket } => self.store_done(machine, life, ticket),
+            Happening::Answer { machine, life } => self.answer_due(machine, life),
             Happening::Tick { machine, life } => {
                 if self.lives(machine, life) {
                     if !self.machines[machine].frozen {
@@ -259,19 +270,22 @@
                 assert!(slot.write.is_none(), "a write before the last one was answered");
                 slot.write = Some((ticket, write));
                 let done = Happening::StoreDone { machine, life: slot.life, ticket };
-                let delay = DISK_MS + self.random.u64(0..4);
+                let slowness = if slot.mode == DiskMode::Slow { SLOW_DISK } else { 1 };
+                let delay = (DISK_MS + self.random.u64(0..4)) * slowness;
                 self.plan(delay, done);
             }
-            Action::Committed { order } => {
+            Action::Committed { order: message } => {
+                let order = self.order_in(message);
                 self.note(machine, &format!("acknowledges order {order}"));
                 if let Some(replica) = &self.machines[machine].replica {
-                    self.checker.acknowledge(order, replica.state());
+                    self.checker.acknowledge(message, order, replica.state());
                 }
                 self.check_disks();
             }
-            Action::Rejected { order, why } => {
+            Action::Rejected { order: message, why } => {
+                let order = self.order_in(message);
                 self.note(machine, &format!("rejects order {order}: {why:?}"));
-                self.checker.reject(order, matches!(why, Rejection::NotPrimary { .. }));
+                self.checker.reject(message, matches!(why, Rejection::NotPrimary { .. }));
             }
             Action::RoleChanged(role) => self.note(machine, &format!("{role:?}")),
             Action::Applied { .. } => {}
--- a/crates/replication/tests/replication/model/cluster.rs
+++ b/crates/replication/tests/replication/model/cluster.rs
@@ -230,7 +230,7 @@
         let base = self.nodes[node].replica.state().version();
         let order = self.next_order;
         self.next_order += 1;
-        let payload = Order { number: order, base }.payload();
+        let payload = Order { number: order, base }.payload(order);
         self.handle(node, Event::Propose { order, payload });
     }
 
@@ -249,7 +249,7 @@
     pub fn violation(&self) -> Option<String> {
         let survivors: Vec<Survivor> =
             self.nodes.iter().map(|node| Survivor { id: node.id, disk: &node.disk }).collect();
-        self.broken.clone().or_else(|| violation(&survivors, &self.acknowledged))
+        self.broken.clone().or_else(|| violation(&survivors, &self.acknowledged, 1))
     }
 
     /// Runs without faults, with the machines in `frozen` left alone, until something holds. Returns every state
--- a/crates/replication/tests/replication/random.rs
+++ b/crates/replication/tests/replication/random.rs
@@ -2,7 +2,8 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-use crate::harness::{DiskMode, NetworkOptions, World, WorldOptions};
+use crate::deeds::{act, Deed};
+use crate::harness::{NetworkOptions, World, WorldOptions};
 
 /// How soon after the last trouble there is a primary that acknowledges.
 const CALM_MS: u64 = 3000;
@@ -11,30 +12,6 @@
 const LET_IN_MS: u64 = 8000;
 const STEPS: usize = 40;
 
-#[derive(Clone, Copy, Debug)]
-enum Deed {
-    Propose,
-    ProposeAnywhere,
-    Kill,
-    PowerLoss,
-    Wipe,
-    Replace,
-    Start,
-    Stop,
-    Freeze,
-    Wake,
-    Hang,
-    Full,
-    Good,
-    CutOff,
-    CutOneWay,
-    /// One machine from the next.
-    CutPair,
-    Join,
-    KillAll,
-    StartAll,
-}
-
 /// The rarer ones stand once, the others several times.
 const DEEDS: [Deed; 34] = [
     Deed::Propose,
@@ -143,71 +120,6 @@
     world
 }
 
-fn act(world: &mut World, deed: Deed, machine: usize) {
-    let runs = world.is_running(machine);
-    match deed {
-        Deed::Propose => {
-            if let Some(leader) = world.leader() {
-                world.propose(leader);
-            }
-        }
-        Deed::ProposeAnywhere if runs => {
-            world.propose(machine);
-        }
-        Deed::Kill => world.kill(machine, false),
-        Deed::PowerLoss => world.kill(machine, true),
-        Deed::Wipe if world.tolerates_loss_of(machine) => {
-            world.kill(machine, true);
-            world.wipe(machine);
-        }
-        Deed::Replace if world.machines.len() < 12 && world.tolerates_loss_of(machine) => {
-            world.remove(machine);
-            world.add_spare();
-        }
-        Deed::Start if !runs => world.start(machine),
-        Deed::Stop if runs => world.stop(machine),
-        Deed::Freeze if runs => world.freeze(machine),
-        Deed::Wake if runs => world.wake(machine),
-        Deed::Hang => world.set_disk(machine, DiskMode::Hangs),
-        Deed::Full => world.set_disk(machine, DiskMode::Full),
-        Deed::Good => world.set_disk(machine, DiskMode::Good),
-        Deed::CutOff => cut(world, machine, true),
-        Deed::CutOneWay => cut(world, machine, false),
-        Deed::CutPair => {
-            let other = (machine + 1) % world.machines.len();
-            world.network.cut(machine, other);
-            world.network.cut(other, machine);
-            world.notice_cuts();
-        }
-        Deed::Join => world.network.join_all(),
-        Deed::KillAll => {
-            for machine in world.present() {
-                world.kill(machine, machine % 2 == 0);
-            }
-        }
-        Deed::StartAll => {
-            for machine in world.present() {
-                if !world.is_running(machine) {
-                    world.start(machine);
-                }
-            }
-        }
-        _ => {}
-    }
-}
-
-fn cut(world: &mut World, machine: usize, both: bool) {
-    for other in (0..world.machines.len()).filter(|other| *other != machine) {
-        world.network.cut(machine, other);
-        if both {
-            world.network.cut(other, machine);
-        }
-    }
-    if both {
-        world.notice_cuts();
-    }
-}
-
 /// After the troubles: an order is acknowledged soon, nothing is lost, and everyone is let in.
 fn check_recovery(world: &mut World) {
     world.calm();
--- a/crates/replication/tests/replication/scenarios/lost_machines.rs
+++ b/crates/replication/tests/replication/scenarios/lost_machines.rs
@@ -157,3 +157,24 @@
         );
     }
 }
+
+/// Two machines are replaced so fast that the new ones become witnesses beside the old ones. Two further disks may
+/// be lost once the replacement is over.
+#[test]
+fn two_disks_are_lost_after_two_machines_were_replaced_fast() {
+    for seed in 0..SEEDS {
+        let mut settled = Settled::new(seed, 2, ["P", "B", "C", "D", "E"]);
+        settled.names.push(("S", settled.world.add_spare()));
+        settled.names.push(("T", settled.world.add_spare()));
+        settled.play(
+            "time | P | B | C     | D     | E | S              | T              | *
+             2500 |   |   |       |       |   | member witness | member witness |
+             2500 |   |   | power | power |   |                |                | order=1
+             3500 |   |   |       |       |   |                |                | acked=1
+             9000 |   |   | out no-witness | out no-witness | | |               |
+             9000 | power wipe | power wipe | | | |             |                |
+            12000 |   |   |       |       |   |                |                | order=2
+            13500 |   |   |       |       |   |                |                | acked=1 acked=2",
+        );
+    }
+}
--- a/crates/replication/tests/replication/scenarios/mod.rs
+++ b/crates/replication/tests/replication/scenarios/mod.rs
@@ -3,6 +3,7 @@
 mod cut_off;
 mod leaving;
 mod lost_machines;
+pub mod operators;
 mod partitions_and_disks;
 mod places;
 mod restarts;
@@ -21,7 +22,11 @@
 
 impl<const N: usize> Settled<N> {
     pub fn new(seed: u64, tolerated: usize, names: [&'static str; N]) -> Self {
-        let options = WorldOptions { seed, tolerated, ..WorldOptions::default() };
+        Self::with(WorldOptions { seed, tolerated, ..WorldOptions::default() }, names)
+    }
+
+    pub fn with(options: WorldOptions, names: [&'static str; N]) -> Self {
+        let seed = options.seed;
         let mut world = World::first_start(options, N, 3);
         let is_whole = |world: &World| world.members().len() == N && world.witnesses().len() == N;
         assert!(world.run_until(6000, is_whole), "{}", world.trace.join("\n"));
--- /dev/null
+++ b/crates/replication/tests/replication/seeded.rs
@@ -0,0 +1,223 @@
+//! Long runs: five machines in five zones and three regions, of which any two may be lost with their disks, and
+//! machines that come in the place of others. The invariants are checked after every event, and every now and then
+//! the troubles end for a while: then an order is acknowledged soon, every machine is let in, and all of them reach
+//! the end of the log.
+//!
+//! The test plays [`RUNS`] runs of [`STEPS`] steps. `SEEDED_RUNS`, `SEEDED_FIRST` and `SEEDED_STEPS` set other
+//! bounds, best with `--release`:
+//!
+//! ```text
+//! SEEDED_RUNS=1000 cargo test --release -p quillpulley-replication seeded:: -- --nocapture
+//! ```
+//!
+//! What is not tolerated is not done: a third disk is not lost before the view does without the first two.
+
+use std::ops::AddAssign;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::thread;
+
+use crate::deeds::{act, Deed};
+use crate::harness::{NetworkOptions, World, WorldOptions};
+
+const RUNS: u64 = 24;
+const STEPS: u64 = 3000;
+const THREADS: u64 = 3;
+const MACHINES: usize = 5;
+const SEEDS_OF_SYSTEM: usize = 3;
+const TOLERATED: usize = 2;
+/// Clocks run up to so many thousandths too fast or too slow.
+const CLOCK_DRIFT: u64 = 30;
+/// How many steps there are between two calm times.
+const STEPS_TO_CALM: u64 = 100;
+/// How soon after the last trouble there is a primary.
+const CALM_MS: u64 = 3000;
+/// How soon it acknowledges an order.
+const ACKNOWLEDGE_MS: u64 = 1000;
+/// How soon after that all machines are members and witnesses.
+const LET_IN_MS: u64 = 8000;
+/// How soon after that all have applied all that is acknowledged.
+const CATCH_UP_MS: u64 = 1000;
+
+/// How often each deed comes, in shares.
+const DEEDS: [(Deed, u32); 27] = [
+    (Deed::Propose, 20),
+    (Deed::ProposeTwo, 8),
+    (Deed::ProposeAnywhere, 4),
+    (Deed::ProposeAgain, 12),
+    (Deed::Ask, 14),
+    (Deed::Kill, 4),
+    (Deed::PowerLoss, 3),
+    (Deed::Wipe, 4),
+    (Deed::Replace, 2),
+    (Deed::ReplaceLeaving, 2),
+    (Deed::Start, 12),
+    (Deed::StartAll, 3),
+    (Deed::Stop, 2),
+    (Deed::Freeze, 4),
+    (Deed::Wake, 8),
+    (Deed::Slow, 3),
+    (Deed::Hang, 2),
+    (Deed::Full, 2),
+    (Deed::Good, 7),
+    (Deed::CutOff, 3),
+    (Deed::CutOneWay, 3),
+    (Deed::CutPair, 3),
+    (Deed::CutRegion, 2),
+    (Deed::Join, 8),
+    (Deed::RegionPowerLoss, 1),
+    (Deed::WipeRegion, 1),
+    (Deed::KillAll, 1),
+];
+
+/// What runs have covered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Coverage {
+    runs: u64,
+    steps: u64,
+    seconds: u64,
+    orders: u64,
+    acknowledged: u64,
+    answers: u64,
+    primaries: u64,
+    lost_disks: u64,
+    calm_times: u64,
+}
+
+impl AddAssign for Coverage {
+    fn add_assign(&mut self, other: Self) {
+        self.runs += other.runs;
+        self.steps += other.steps;
+        self.seconds += other.seconds;
+        self.orders += other.orders;
+        self.acknowledged += other.acknowledged;
+        self.answers += other.answers;
+        self.primaries += other.primaries;
+        self.lost_disks += other.lost_disks;
+        self.calm_times += other.calm_times;
+    }
+}
+
+fn pick(random: &mut fastrand::Rng) -> Deed {
+    let total: u32 = DEEDS.iter().map(|(_, share)| share).sum();
+    let mut left = random.u32(0..total);
+    for (deed, share) in DEEDS {
+        if left < share {
+            return deed;
+        }
+        left -= share;
+    }
+    Deed::Ask
+}
+
+fn start(seed: u64, options: &WorldOptions) -> World {
+    let network = if seed.is_multiple_of(2) {
+        NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, doubled: 30, late: 20 }
+    } else {
+        NetworkOptions::default()
+    };
+    let options =
+        WorldOptions { seed, network, tolerated: TOLERATED, clock_drift: CLOCK_DRIFT, ..options.clone() };
+    World::first_start(options, MACHINES, SEEDS_OF_SYSTEM)
+}
+
+/// Plays a run; panics if an invariant does not hold.
+fn play(seed: u64, steps: u64, options: &WorldOptions) -> Coverage {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut world = start(seed, options);
+    let network = world.network.options;
+    let mut calm_times = 0;
+    for step in 1..=steps {
+        let longest = [10, 40, 100, 100, 300, 1000][random.usize(0..6)];
+        world.run_for(random.u64(0..longest));
+        let present = world.present();
+        let machine = present[random.usize(0..present.len())];
+        let deed = pick(&mut random);
+        act(&mut world, deed, machine);
+        if step % STEPS_TO_CALM == 0 {
+            check_calm(&mut world);
+            world.network.options = network;
+            calm_times += 1;
+        }
+    }
+    Coverage {
+        runs: 1,
+        steps,
+        seconds: world.now / 1000,
+        orders: world.order_count(),
+        acknowledged: world.checker.acknowledged.len() as u64,
+        answers: world.answers,
+        primaries: world.checker.epochs() as u64,
+        lost_disks: world.lost_count(),
+        calm_times,
+    }
+}
+
+/// The troubles end: an order is acknowledged soon, everyone is let in, and everyone reaches the log's end.
+fn check_calm(world: &mut World) {
+    world.calm();
+    world.run_for(CALM_MS);
+    let leader = world.leader().expect("a primary after a calm time");
+    let order = world.propose(leader);
+    let acknowledged = world.run_until(ACKNOWLEDGE_MS, |world| world.is_acknowledged(order));
+    assert!(acknowledged, "order {order} is not acknowledged in a calm time");
+    let is_whole = world.run_until(LET_IN_MS, |world| {
+        world.members() == world.present() && world.witnesses() == world.present()
+    });
+    assert!(is_whole, "members are {:?}, witnesses {:?}", world.members(), world.witnesses());
+    let leader = world.leader().expect("a primary in a calm time");
+    let end = world.applied_index(leader);
+    let all_there =
+        |world: &World| world.present().into_iter().all(|machine| world.applied_index(machine) >= end);
+    assert!(world.run_until(CATCH_UP_MS, all_there), "a machine does not reach the end of the log");
+    let open = world.open_orders();
+    assert!(open.is_empty(), "the fate of messages {open:?} is not told");
+}
+
+/// What a run says that breaks an invariant.
+pub fn failure(seed: u64, steps: u64, options: &WorldOptions) -> Option<String> {
+    let panic = catch_unwind(AssertUnwindSafe(|| play(seed, steps, options))).err()?;
+    let text = panic.downcast_ref::<String>().cloned();
+    Some(text.unwrap_or_else(|| panic.downcast_ref::<&str>().copied().unwrap_or_default().into()))
+}
+
+fn setting(name: &str, otherwise: u64) -> u64 {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+}
+
+/// Plays every `THREADS`th seed of a range; returns what was covered, and the seeds that failed.
+fn play_share(seeds: std::ops::Range<u64>, share: u64, steps: u64) -> (Coverage, Vec<u64>) {
+    let mut coverage = Coverage::default();
+    let mut failed = Vec::new();
+    for seed in seeds.filter(|seed| seed % THREADS == share) {
+        match catch_unwind(|| play(seed, steps, &WorldOptions::default())) {
+            Ok(run) => coverage += run,
+            Err(_) => {
+                eprintln!("seed {seed} failed");
+                failed.push(seed);
+            }
+        }
+    }
+    (coverage, failed)
+}
+
+#[test]
+fn five_machines_in_three_regions_through_thousands_of_troubles() {
+    let first = setting("SEEDED_FIRST", 0);
+    let seeds = first..first + setting("SEEDED_RUNS", RUNS);
+    let steps = setting("SEEDED_STEPS", STEPS);
+    let threads: Vec<_> = (0..THREADS)
+        .map(|share| {
+            let seeds = seeds.clone();
+            thread::spawn(move || play_share(seeds, share, steps))
+        })
+        .collect();
+    let mut covered = Coverage::default();
+    let mut failed = Vec::new();
+    for thread in threads {
+        let (coverage, seeds) = thread.join().expect("a share of the runs");
+        covered += coverage;
+        failed.extend(seeds);
+    }
+    println!("{covered:?}");
+    assert!(failed.is_empty(), "seeds {failed:?} failed");
+}
