Tell a member that reconnects what is committed, also when it lacks no entry

Cause: a member that restarted before it was dropped had its whole log on disk, but no state that goes as far: the primary had nothing to send it, and what is committed is told of entries that were compared only.

Change: on a new connection the primary sends the end of the log once more, with what is committed.

--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -36,6 +36,9 @@
     flight: Option<Flight>,
     /// Nothing is sent to it before that time, since it has declined.
     paused_until: Duration,
+    /// It may have restarted: then it has its log but not yet a state that goes as far, until it hears anew what is
+    /// committed.
+    needs_word: bool,
     /// Since when it has not moved although there is something to move to.
     waits_since: Option<Duration>,
 }
@@ -48,6 +51,7 @@
             needs_install: false,
             flight: None,
             paused_until: Duration::ZERO,
+            needs_word: false,
             waits_since: None,
         }
     }
@@ -68,9 +72,10 @@
         self.waits_since.is_some_and(|since| now > since + patience + per_mb(TIME_PER_MB, bytes))
     }
 
-    /// Sends again at once whatever is under way.
+    /// Sends again at once whatever is under way, and at least where the log ends and what of it is committed.
     pub fn resend(&mut self) {
         self.flight = None;
+        self.needs_word = true;
     }
 }
 
@@ -170,6 +175,7 @@
         progress.needs_install = false;
         if progress.flight.is_some_and(|flight| flight.end <= last.index) {
             progress.flight = None;
+            progress.needs_word = false;
         }
         if progress.acked.is_some_and(|acked| acked.index >= log.last().index) {
             progress.waits_since = None;
@@ -206,7 +212,7 @@
             return Step::Install;
         }
         match self.acked {
-            Some(acked) if acked.index >= log.last().index => Step::Nothing,
+            Some(acked) if acked.index >= log.last().index && !self.needs_word => Step::Nothing,
             Some(acked) if log.contains(acked) => Step::Append { previous: acked },
             Some(_) => Step::Install,
             None if log.contains(self.guess) => Step::Append { previous: self.guess },
--- a/crates/replication/tests/replication/scenarios/restarts.rs
+++ b/crates/replication/tests/replication/scenarios/restarts.rs
@@ -1,6 +1,7 @@
 //! Processes that are killed, told to end, and started again.
 
-use super::three;
+use super::{three, Settled, SEEDS};
+use crate::harness::World;
 
 #[test]
 fn orders_are_acknowledged_and_one_wins_on_each_base() {
@@ -136,3 +137,25 @@
          7500 |         |       |       | acked=3",
     );
 }
+
+//    P |         |        | nothing is ordered
+//    B | killed  | starts | has the state of P
+#[test]
+fn a_backup_that_restarts_has_the_newest_state_without_a_new_order() {
+    for seed in 0..SEEDS {
+        for pause in [1, 20, 50, 100, 200, 350] {
+            let mut settled = Settled::new(seed, 1, ["P", "B", "C"]);
+            settled.play("time | P\n 0 | order=1\n 300 | acked=1");
+            let (primary, backup) = (settled.names[0].1, settled.names[1].1);
+            let world = &mut settled.world;
+            world.kill(backup, false);
+            world.run_for(pause);
+            world.start(backup);
+            let applied = |world: &World, machine: usize| {
+                Some(world.machines[machine].replica.as_ref()?.applied_index())
+            };
+            let has_all = |world: &World| applied(world, backup) == applied(world, primary);
+            assert!(world.run_until(3000, has_all), "seed {seed}, started after {pause} ms");
+        }
+    }
+}
