Decide an order only on a state that has all of the log; operators in virtual time

Cause: a primary that lost its lease for a moment and got it back told the callers of what was in its log that nothing was clear, and then decided the next order on a state that lacked it. A later order could be refused or acknowledged (an evacuation that was so already), and the earlier one come into force afterwards, although nobody had sent it again.

Change: Replica::has_open_orders says whether the log has an order that is not applied, or one waits for a view change; Orders::next_for decides only without one, and the host asks through it. So an order without a clear answer comes into force before the next answer to an order, or never, unless it is sent again.

Tests: tests/operators plays replicas with the host's queue of orders, disks and network in virtual time, with four operators that race on few versions, lose answers and send again, also old orders, while machines are killed, frozen, cut off, wiped and their disks fail.

--- a/crates/quillpulley/src/control/host.rs
+++ b/crates/quillpulley/src/control/host.rs
@@ -314,7 +314,7 @@
 
     fn propose_orders(&mut self) {
         while let Some(lease_end) = self.replica.lease_until(self.clock.now()) {
-            let proposal = self.orders.next_proposal(self.replica.state());
+            let proposal = self.orders.next_for(&self.replica);
             self.send_answers(lease_end);
             let Some(proposal) = proposal else { return };
             self.replicate(Event::Propose { order: proposal.order, payload: proposal.payload });
--- a/crates/quillpulley/src/control/orders.rs
+++ b/crates/quillpulley/src/control/orders.rs
@@ -1,9 +1,11 @@
 //! Orders of the operator: decided one after the other against the committed state, and then replicated.
 //!
-//! Only one order is under way at a time. The next is decided when that one is committed or has failed, so
-//! that of two configurations on one base exactly one is taken.
+//! Only one order is under way at a time, and the next is decided on a state that has every order of the log. So
+//! of two configurations on one base exactly one is taken, and an order without a clear answer comes into force
+//! before the next one is answered, or never.
 
 use quillpulley_configuration::{ControlState, EvacuationDecision, ReplaceDecision};
+use quillpulley_replication::Replica;
 use std::collections::VecDeque;
 use std::fmt;
 use std::time::Duration;
@@ -129,8 +131,18 @@
         self.waiting.push_back(Waiting { order, reply, expires: now + ANSWER_WITHIN });
     }
 
+    /// Decides waiting orders up to the first that has to be replicated, but none while the log of the replica has
+    /// an order that its state lacks, also one whose caller got no clear answer. To be called only while the lease
+    /// is held.
+    pub fn next_for(&mut self, replica: &Replica<ControlState>) -> Option<Proposal> {
+        if replica.has_open_orders() {
+            return None;
+        }
+        self.next_proposal(replica.state())
+    }
+
     /// Decides waiting orders against the committed `state` up to the first that has to be replicated. To be
-    /// called only while the lease is held.
+    /// called only where [`Orders::next_for`] would.
     pub fn next_proposal(&mut self, state: &ControlState) -> Option<Proposal> {
         while self.under_way.is_none() {
             let waiting = self.waiting.pop_front()?;
--- /dev/null
+++ b/crates/quillpulley/tests/operators/broken.rs
@@ -0,0 +1,41 @@
+//! Processes with a fault built in: the checks have to catch every one of them.
+
+use super::node::Fault;
+use super::random::play;
+use std::panic::catch_unwind;
+
+const DAYS: u64 = 1500;
+
+/// What the first day that breaks a claim about answers says.
+fn first_failure(fault: Fault, expected: &[&str]) -> Option<String> {
+    (0..DAYS).find_map(|seed| {
+        let panic = catch_unwind(|| drop(play(seed, 3, fault))).err()?;
+        let text = panic.downcast_ref::<String>().cloned();
+        let message =
+            text.unwrap_or_else(|| panic.downcast_ref::<&str>().copied().unwrap_or_default().into());
+        println!("{fault:?}, day {seed}: {message}");
+        expected.iter().any(|words| message.contains(words)).then_some(message)
+    })
+}
+
+#[test]
+fn orders_decided_without_the_lease_are_caught() {
+    let expected = ["is older than", "older than", "is refused", "came into force"];
+    assert!(first_failure(Fault::NoLease, &expected).is_some());
+}
+
+#[test]
+fn orders_decided_beside_open_ones_are_caught() {
+    let expected = ["after a later order was answered", "changed without an order"];
+    assert!(first_failure(Fault::OpenOrders, &expected).is_some());
+}
+
+#[test]
+fn orders_that_overlap_are_caught() {
+    assert!(first_failure(Fault::Overlapping, &["are acknowledged", "not in force"]).is_some());
+}
+
+#[test]
+fn snapshots_without_the_history_are_caught() {
+    assert!(first_failure(Fault::NoHistory, &["that was taken is refused"]).is_some());
+}
--- /dev/null
+++ b/crates/quillpulley/tests/operators/orders.rs
@@ -0,0 +1,64 @@
+//! What operators send: valid configurations, invalid ones of each kind, and evacuations.
+
+use quillpulley::control::orders::Order;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wish {
+    /// A configuration: its base, its version, its text, and whether it could ever be taken.
+    Replace { base: u64, version: u64, body: Vec<u8>, valid: bool },
+    /// A zone evacuated or taken back.
+    Evacuate { zone: String, active: bool },
+    /// The newest configuration.
+    Read,
+}
+
+impl Wish {
+    /// A valid configuration; the mark tells apart those of one version.
+    pub fn valid(base: u64, version: u64, mark: &str) -> Wish {
+        let body = text(version, &route("/a/", r#","Service":"s""#), mark);
+        Wish::Replace { base, version, body, valid: true }
+    }
+
+    /// A configuration that is never to be in force, of one of the kinds.
+    pub fn invalid(base: u64, kind: usize) -> Wish {
+        let next = base + 1;
+        let service = r#","Service":"s""#;
+        let body = match kind % INVALID_KINDS {
+            0 => {
+                let whole = text(next, &route("/a/", service), "x");
+                whole[..whole.len() * 2 / 3].to_vec()
+            }
+            1 => text(next, &route("/a/", r#","Service":"unknown""#), "x"),
+            2 => text(next, &format!("{0},{0}", route("/a/", service)), "x"),
+            3 => text(next, &route("/a/", r#","TrafficSplit":[{"Service":"s","Weight":0}]"#), "x"),
+            4 => text(next, &route("/a/", &format!(r#"{service},"TimeoutMs":0"#)), "x"),
+            5 => text(base.saturating_sub(1), &route("/a/", service), "x"),
+            _ => text(base, &route("/a/", service), "x"),
+        };
+        Wish::Replace { base, version: next, body, valid: false }
+    }
+
+    /// The order that it is for the processes; none for a read.
+    pub fn order(&self) -> Option<Order> {
+        match self {
+            Wish::Replace { base, body, .. } => Some(Order::Replace { base: *base, body: body.clone() }),
+            Wish::Evacuate { zone, active } => Some(Order::Evacuate { zone: zone.clone(), active: *active }),
+            Wish::Read => None,
+        }
+    }
+}
+
+/// As many kinds of invalid configurations are there.
+pub const INVALID_KINDS: usize = 7;
+
+fn route(prefix: &str, fields: &str) -> String {
+    format!(r#"{{"Host":"h","PathPrefix":"{prefix}"{fields}}}"#)
+}
+
+fn text(version: u64, routes: &str, mark: &str) -> Vec<u8> {
+    let text = format!(
+        r#"{{"Version":{version},"Routes":[{routes}],"Services":[{{"Name":"s"}}],"Limits":{{}},"Mark":"{mark}"}}"#
+    );
+    text.into_bytes()
+}
--- a/crates/replication/src/log.rs
+++ b/crates/replication/src/log.rs
@@ -75,6 +75,12 @@
         self.entries.iter().skip(skipped).cloned().collect()
     }
 
+    /// Whether an entry after an index is an order, and no mere mark of an epoch.
+    pub fn has_payload_after(&self, index: u64) -> bool {
+        let skipped = index.saturating_sub(self.base.index) as usize;
+        self.entries.iter().skip(skipped).any(|entry| !entry.payload.is_empty())
+    }
+
     /// Copies of the entries after an index, at least one, and no more once they exceed `bytes`.
     pub fn batch_after(&self, index: u64, bytes: usize) -> Vec<Entry> {
         let skipped = index.saturating_sub(self.base.index) as usize;
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Whether orders wait for the end of a view change.
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     fn go_on_with(self, view: View, now: Duration) -> Self {
         Leadership { view, next_heartbeat: now, ..self }
     }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -188,6 +188,13 @@
         unchecked || self.holds_lease(now)
     }
 
+    /// Whether the log holds an order that the state does not have yet, or one waits to get there: it may come into
+    /// force without being sent again.
+    pub fn has_open_orders(&self) -> bool {
+        let waits = self.leadership.as_ref().is_some_and(Leadership::has_waiting);
+        waits || self.log.has_payload_after(self.applied.index)
+    }
+
     /// The newest view that is known: its epoch, members and witnesses. None before the first.
     pub fn view(&self) -> Option<&View> {
         let known = self.witness.view().filter(|view| view.epoch > BOOTSTRAP_EPOCH);
