Keep clients of hosts with homes out of third regions, and name only heard fronts when cut off

The log of the directory's answers shows why: all fronts of a region were leaving in a rolling restart (5.3 s to 8.6 s), and its clients were told all ready fronts of the system. The vote for other regions was not at fault there, but nothing bound it to homes either.

The directory now looks at the routes of the host that a client asks for. Another region is told only if it is a home of every route of that host with homes, else the client's own, whatever its fronts' state. Only if no front is known in any of these is the rest told, and not within 3 s of an election. A host none of whose requests may be served in the client's region is led to its homes without a vote; proxies count for hosts with some such routes only.

DRAIN: a directory without news for 3 s names only the fronts that report to it, those that went silent for 2 s more, and none that two monitors cannot reach; where it hears of no front that suits, it answers 503. Time alone now brings that about: before, stale fronts stayed until a report changed.

Changed tests: the vote's test gives the host homes, and the test of an answer that is never empty a configuration, as both depend on it now; a front that stopped reporting is expected for 2 s more, then gone.

--- a/crates/configuration/src/published/items.rs
+++ b/crates/configuration/src/published/items.rs
@@ -1,8 +1,8 @@
 //! From the control state to items, and from items to a configuration.
 
-use super::{evacuated_key, route_key, CONFIG_KEY};
+use super::{evacuated_key, route_key, PublishedKey, CONFIG_KEY};
 use crate::control_state::ControlState;
-use crate::operator::{read_limits, read_route, read_services, write_json, Service};
+use crate::operator::{read_limits, read_route, read_services, write_json, Route, Service};
 use crate::{Configuration, ConfigurationError};
 use quillpulley_wire::{decode_value, encode_value, ConfigHead, ConfigHeadRef};
 use std::collections::BTreeMap;
@@ -22,6 +22,14 @@
     items
 }
 
+/// The route of a published item; none for items of other kinds, and for one that cannot be read.
+pub fn route_of(key: &str, value: &[u8]) -> Option<Route> {
+    match PublishedKey::parse(key)? {
+        PublishedKey::Route(_) => read_route(value).ok(),
+        _ => None,
+    }
+}
+
 impl Configuration {
     /// Its head and its routes by their keys.
     pub fn to_items(&self) -> BTreeMap<String, Vec<u8>> {
--- a/crates/quillpulley/src/control/directory.rs
+++ b/crates/quillpulley/src/control/directory.rs
@@ -2,6 +2,7 @@
 
 use super::http::{self, Handler, JsonAnswer};
 use crate::HostError;
+use quillpulley_routing::{HomeTable, HostHomes, ServedIn};
 use quillpulley_wire::{Front, FrontState};
 use simd_json::prelude::Writable;
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,51 +28,146 @@
     pub region: String,
 }
 
+/// Which fronts are known.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Coverage {
+    /// Too few to tell any: the process has just started.
+    #[default]
+    TooFew,
+    /// All that were reported since the start or the latest election, which others may still be.
+    Settling,
+    /// All of the system.
+    All,
+    /// Those that report to this process, which is out of touch with the primary.
+    OwnReports,
+}
+
 /// The fronts that are known, as the directory tells them.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Directory {
-    /// All known fronts.
+    /// The known fronts.
     pub fronts: Vec<Front>,
-    /// Whether they are believed to be all: shortly after its start a process knows too few.
-    pub complete: bool,
+    /// Which these are.
+    pub coverage: Coverage,
+    /// Where the requests of each host may be served.
+    pub homes: Arc<HomeTable>,
 }
 
 impl Directory {
-    /// The addresses for a client at `place`; empty if it should ask elsewhere.
-    pub fn choose(&self, place: &Place) -> Vec<String> {
-        if !self.complete {
+    /// The addresses for a client of `host` at `place`; empty if it should ask elsewhere.
+    pub fn choose(&self, host: &str, place: &Place) -> Vec<String> {
+        if self.coverage == Coverage::TooFew {
             return Vec::new();
         }
-        let mut chosen = self.nearest_ready(place);
-        if chosen.is_empty() {
-            chosen = self.fronts.iter().collect();
-        }
+        let mut chosen = Candidates { directory: self, homes: self.homes.of(host), place }.choose();
         if chosen.len() > MAX_ADDRESSES {
             fastrand::shuffle(&mut chosen);
             chosen.truncate(MAX_ADDRESSES);
         }
         chosen.into_iter().map(|front| front.address.clone()).collect()
     }
+}
 
-    fn nearest_ready(&self, place: &Place) -> Vec<&Front> {
-        let ready = || self.fronts.iter().filter(|front| front.state == FrontState::Ready);
-        let nearby = |front: &&Front| front.zone == place.zone || front.region == place.region;
-        let in_region: Vec<&Front> = ready().filter(nearby).collect();
-        let preferred = preferred_regions(&in_region);
-        let elsewhere: Vec<&Front> =
-            ready().filter(|front| preferred.contains(front.region.as_str())).collect();
-        if !elsewhere.is_empty() {
+/// The fronts among which is chosen for a client. Requests with homes are kept out of regions that are neither a
+/// home nor the client's: it is sent to another region only if that is a home of every route of its host that has
+/// homes, or if no front is known in such a region or in its own.
+struct Candidates<'a> {
+    directory: &'a Directory,
+    homes: &'a HostHomes,
+    place: &'a Place,
+}
+
+impl<'a> Candidates<'a> {
+    fn choose(&self) -> Vec<&'a Front> {
+        let elsewhere = self.elsewhere();
+        if !elsewhere.is_empty() || self.are_others_better_asked() {
             return elsewhere;
         }
-        let in_zone: Vec<&Front> = ready().filter(|front| front.zone == place.zone).collect();
-        if in_zone.len() >= ENOUGH_IN_ZONE {
-            return in_zone;
+        let steps = [
+            Self::ready_in_zone,
+            Self::ready_in_region,
+            Self::ready_in_common_homes,
+            Self::others_in_region_or_homes,
+            Self::anywhere,
+        ];
+        let mut chosen = steps.into_iter().map(|step| step(self));
+        chosen.find(|fronts| !fronts.is_empty()).unwrap_or_default()
+    }
+
+    /// Those of other regions where the client is served better.
+    fn elsewhere(&self) -> Vec<&'a Front> {
+        match self.homes.served_in(&self.place.region) {
+            ServedIn::All => Vec::new(),
+            ServedIn::None => self.ready(|front| !self.is_near(front) && self.is_common_home(front)),
+            ServedIn::Some => {
+                let preferred = self.preferred_regions();
+                self.ready(|front| preferred.contains(front.region.as_str()))
+            }
+        }
+    }
+
+    /// Whether the client is served better in regions of which this process, cut off from the primary, does not
+    /// hear. The fronts here are cut off from the servers there as well.
+    fn are_others_better_asked(&self) -> bool {
+        self.directory.coverage == Coverage::OwnReports
+            && match self.homes.served_in(&self.place.region) {
+                ServedIn::All => false,
+                ServedIn::None => true,
+                ServedIn::Some => !self.preferred_regions().is_empty(),
+            }
+    }
+
+    fn preferred_regions(&self) -> BTreeSet<&'a str> {
+        let mut preferred = preferred_regions(&self.ready_in_region());
+        preferred.retain(|region| self.homes.is_common_home(region));
+        preferred
+    }
+
+    /// None with too few to share the load.
+    fn ready_in_zone(&self) -> Vec<&'a Front> {
+        let in_zone = self.ready(|front| front.zone == self.place.zone);
+        if in_zone.len() < ENOUGH_IN_ZONE {
+            return Vec::new();
+        }
+        in_zone
+    }
+
+    fn ready_in_region(&self) -> Vec<&'a Front> {
+        self.ready(|front| self.is_near(front))
+    }
+
+    fn ready_in_common_homes(&self) -> Vec<&'a Front> {
+        self.ready(|front| self.is_common_home(front))
+    }
+
+    /// Those that start or leave: they serve, or refuse at once.
+    fn others_in_region_or_homes(&self) -> Vec<&'a Front> {
+        let fronts = self.directory.fronts.iter();
+        fronts.filter(|front| self.is_near(front) || self.is_common_home(front)).collect()
+    }
+
+    fn anywhere(&self) -> Vec<&'a Front> {
+        if self.directory.coverage != Coverage::All {
+            return Vec::new();
         }
-        if in_region.is_empty() {
-            ready().collect()
-        } else {
-            in_region
+        let ready = self.ready(|_| true);
+        if ready.is_empty() {
+            return self.directory.fronts.iter().collect();
         }
+        ready
+    }
+
+    fn ready(&self, is_wanted: impl Fn(&Front) -> bool) -> Vec<&'a Front> {
+        let ready = self.directory.fronts.iter().filter(|front| front.state == FrontState::Ready);
+        ready.filter(|front| is_wanted(front)).collect()
+    }
+
+    fn is_near(&self, front: &Front) -> bool {
+        front.zone == self.place.zone || front.region == self.place.region
+    }
+
+    fn is_common_home(&self, front: &Front) -> bool {
+        self.homes.is_common_home(&front.region)
     }
 }
 
@@ -125,7 +221,7 @@
 fn resolve(url: &str, board: &DirectoryBoard, time_to_live_s: f64) -> JsonAnswer {
     let parameter = |name| http::query_parameter(url, name).unwrap_or_default();
     let place = Place { zone: parameter("Zone"), region: parameter("Region") };
-    let addresses = board.get().choose(&place);
+    let addresses = board.get().choose(&parameter("Name"), &place);
     if addresses.is_empty() {
         return JsonAnswer::new(503, b"{}".to_vec()).with_header("Retry-After", RETRY_AFTER_S);
     }
--- a/crates/quillpulley/src/control/fronts.rs
+++ b/crates/quillpulley/src/control/fronts.rs
@@ -79,6 +79,7 @@
     }
 }
 
-fn is_suspected(tree: &Subtree, name: &str) -> bool {
+/// Whether enough monitors of a front say that they cannot reach it.
+pub(super) fn is_suspected(tree: &Subtree, name: &str) -> bool {
     tree.suspicions.get(name).is_some_and(|monitors| monitors.len() >= SUSPECTING_MONITORS)
 }
--- a/crates/quillpulley/src/control/host.rs
+++ b/crates/quillpulley/src/control/host.rs
@@ -6,7 +6,7 @@
 use super::api::{ApiCall, Call, Reply};
 use super::clock::Clock;
 use super::directory::DirectoryBoard;
-use super::directory_view::DirectoryView;
+use super::directory_view::{DirectoryView, Known};
 use super::disk::{Disk, Stored};
 use super::fetcher::{Fetched, Fetcher};
 use super::leadership::Leadership;
@@ -84,7 +84,7 @@
     disk: Disk,
     fetcher: Option<Fetcher>,
     directory: DirectoryBoard,
-    directory_view: DirectoryView,
+    pub(super) directory_view: DirectoryView,
     pub(super) peer_table: PeerTable<LinkId>,
     pub(super) told_cores: Vec<u32>,
     pub(super) agents: BTreeSet<LinkId>,
@@ -193,7 +193,7 @@
             let due = self.reader.tick(now, self.leadership.is_some());
             self.fetch(due);
         }
-        self.dirty.directory |= self.directory_view.is_waiting();
+        self.dirty.directory |= self.directory_view.is_waiting(self.feed.is_fresh(now));
         self.forget_cores(now);
         self.read_seeds_if_isolated(now);
         self.settle();
@@ -330,9 +330,8 @@
 
     fn show_directory(&mut self, now: Duration) {
         if std::mem::take(&mut self.dirty.directory) {
-            let fresh = self.feed.is_fresh(now);
-            let view = &mut self.directory_view;
-            self.directory.set(view.directory(now, fresh, self.feed.store(), self.feed.subtree()));
+            let known = Known::at(now, &self.feed);
+            self.directory.set(self.directory_view.directory(now, &known));
         }
     }
 
--- a/crates/quillpulley/src/control/links.rs
+++ b/crates/quillpulley/src/control/links.rs
@@ -4,7 +4,6 @@
 use super::peer_table::PeerChange;
 use super::relay::{ChildFrame, ParentChange};
 use crate::peer::{LinkId, PeerEvent};
-use quillpulley_configuration::published::PublishedKey;
 use quillpulley_feed as feed;
 use quillpulley_replication::{Event, Place};
 use quillpulley_wire::{Body, Cores, Hello, NodeId, PeerKind};
@@ -126,8 +125,7 @@
             }
             feed::Action::DropChild(child) => self.drop_child(child),
             feed::Action::Changed(changed) => {
-                let is_front = |key: &str| matches!(PublishedKey::parse(key), Some(PublishedKey::Front(_)));
-                self.dirty.directory |= changed.iter().any(|changed| is_front(&changed.key));
+                self.dirty.directory |= self.directory_view.published(&changed);
             }
             feed::Action::TotalsChanged => {}
             feed::Action::FrontsChanged => {
--- a/crates/quillpulley/src/control/mod.rs
+++ b/crates/quillpulley/src/control/mod.rs
@@ -22,6 +22,7 @@
 pub mod publisher;
 pub mod reader;
 pub mod relay;
+pub mod reported;
 pub mod servers;
 mod status;
 pub mod timed_answer;
--- /dev/null
+++ b/crates/quillpulley/src/control/reported.rs
@@ -0,0 +1,38 @@
+//! The fronts that report to this core process, or did until just now.
+
+use super::fronts::is_suspected;
+use quillpulley_feed::Subtree;
+use quillpulley_wire::Front;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A front that is no longer reported counts for so long: its agent may be changing its parent, as all agents do in
+/// turn while there is no primary.
+pub const REMEMBERED: Duration = Duration::from_secs(2);
+
+struct Reported {
+    front: Front,
+    /// When it was reported last.
+    at: Duration,
+}
+
+/// The fronts that report to this process, by name.
+#[derive(Default)]
+pub struct ReportedFronts {
+    fronts: BTreeMap<String, Reported>,
+}
+
+impl ReportedFronts {
+    /// Takes what is reported at `now`, without the fronts that their monitors cannot reach.
+    pub fn update(&mut self, now: Duration, subtree: &Subtree) {
+        for front in subtree.fronts.values() {
+            self.fronts.insert(front.name.clone(), Reported { front: front.clone(), at: now });
+        }
+        self.fronts.retain(|name, reported| now < reported.at + REMEMBERED && !is_suspected(subtree, name));
+    }
+
+    /// Those that count.
+    pub fn fronts(&self) -> impl Iterator<Item = &Front> {
+        self.fronts.values().map(|reported| &reported.front)
+    }
+}
--- a/crates/quillpulley/src/proxy/front.rs
+++ b/crates/quillpulley/src/proxy/front.rs
@@ -74,7 +74,7 @@
         let host = head.host.to_str().unwrap_or_default();
         let plan = in_force.find(host, head.target.path());
         let plan = plan.ok_or(before_body(OwnAnswer::status(StatusCode::NOT_FOUND)))?;
-        self.plane.count_homes(&plan.homes);
+        self.plane.count_homes(&in_force, host, &plan.homes);
         let due = head.due(arrived, plan.timeout);
         let mut held = self.plane.bodies().hold();
         let reading = read_body(body, limits.max_body_bytes as usize, &mut held);
--- a/crates/quillpulley/src/proxy/plan.rs
+++ b/crates/quillpulley/src/proxy/plan.rs
@@ -2,8 +2,7 @@
 
 use quillpulley_configuration::operator::{Limits, Route, RouteKind};
 use quillpulley_configuration::Configuration;
-use quillpulley_routing::{pick_service, RouteTable};
-use std::collections::BTreeSet;
+use quillpulley_routing::{pick_service, HomeTable, RouteTable};
 use std::time::Duration;
 
 /// The configuration in force.
@@ -11,12 +10,16 @@
     /// The whole of it.
     pub configuration: Configuration,
     table: RouteTable,
+    homes: HomeTable,
 }
 
 impl InForce {
     /// With its routes ready to be found.
     pub fn new(configuration: Configuration) -> Self {
-        InForce { table: RouteTable::new(&configuration), configuration }
+        let table = RouteTable::new(&configuration);
+        let routes = configuration.routes.iter();
+        let homes = HomeTable::new(routes.map(|route| (route.host.as_str(), route.home_regions.as_slice())));
+        InForce { table, homes, configuration }
     }
 
     /// What binds clients.
@@ -24,9 +27,9 @@
         &self.configuration.limits
     }
 
-    /// The lists of home regions that its routes name.
-    pub fn homes(&self) -> BTreeSet<&[String]> {
-        self.configuration.routes.iter().map(|route| route.home_regions.as_slice()).collect()
+    /// The home regions of its routes by their hosts.
+    pub fn homes(&self) -> &HomeTable {
+        &self.homes
     }
 
     /// What is to be done with a request, if there is a route for it.
--- a/crates/quillpulley/src/proxy/plane.rs
+++ b/crates/quillpulley/src/proxy/plane.rs
@@ -9,7 +9,7 @@
 use hyper::header::HeaderValue;
 use quillpulley_budget::RetryBudgets;
 use quillpulley_configuration::Configuration;
-use quillpulley_routing::{Balancer, HomeDemand, Limiter, ServerKey};
+use quillpulley_routing::{Balancer, HomeDemand, Limiter, ServedIn, ServerKey};
 use quillpulley_wire::{FrontState, Server, ServerState};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashSet};
@@ -103,7 +103,7 @@
         self.balancer.borrow_mut().set_services(configuration.services.values());
         let in_force = Rc::new(InForce::new(configuration));
         let before = self.in_force.replace(Some(in_force.clone()));
-        if before.is_some_and(|before| before.homes() != in_force.homes()) {
+        if before.is_some_and(|before| before.homes().all() != in_force.homes().all()) {
             self.home_demand.borrow_mut().reset();
         }
         self.change_lifecycle(lifecycle::Event::ConfigurationKnown);
@@ -154,9 +154,13 @@
         self.lifecycle.get().front_state(self.now())
     }
 
-    /// Counts a request by the regions in which it may be served.
-    pub fn count_homes(&self, homes: &[String]) {
-        self.home_demand.borrow_mut().count(self.now(), homes);
+    /// Counts a request to a host by the regions in which it may be served, where the configuration in force
+    /// leaves open whether most requests to that host may be served here.
+    pub fn count_homes(&self, in_force: &InForce, host: &str, homes: &[String]) {
+        let mut demand = self.home_demand.borrow_mut();
+        if in_force.homes().of(host).served_in(demand.region()) == ServedIn::Some {
+            demand.count(self.now(), homes);
+        }
     }
 
     /// The regions whose fronts would serve the clients of this proxy better.
--- a/crates/quillpulley/tests/control/directory.rs
+++ b/crates/quillpulley/tests/control/directory.rs
@@ -1,9 +1,12 @@
 //! The directory: which addresses a client is told.
 
-use quillpulley::control::directory::{self, Directory, DirectoryBoard, Place};
+use quickcheck::{Arbitrary, Gen};
+use quillpulley::control::directory::{self, Coverage, Directory, DirectoryBoard, Place};
+use quillpulley_routing::HomeTable;
 use quillpulley_wire::{Front, FrontState};
 use simd_json::prelude::*;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A front as `name zone region state`.
@@ -28,12 +31,28 @@
 }
 
 fn directory(fronts: &[&str]) -> Directory {
-    Directory { fronts: fronts.iter().map(|text| front(text)).collect(), complete: true }
+    let fronts = fronts.iter().map(|text| front(text)).collect();
+    Directory { fronts, coverage: Coverage::All, homes: Arc::default() }
+}
+
+/// The homes of routes as `host:home+home`; nothing after the colon where there are none.
+fn homes(routes: &str) -> Arc<HomeTable> {
+    let route = |text: &str| {
+        let (host, homes) = text.split_once(':').expect("homes");
+        let homes = homes.split('+').filter(|home| !home.is_empty()).map(str::to_string);
+        (host.to_string(), homes.collect::<Vec<_>>())
+    };
+    let routes: Vec<(String, Vec<String>)> = routes.split_whitespace().map(route).collect();
+    Arc::new(HomeTable::new(routes.iter().map(|(host, homes)| (host.as_str(), homes.as_slice()))))
 }
 
 fn chosen(directory: &Directory, zone: &str, region: &str) -> String {
+    chosen_of(directory, "h", zone, region)
+}
+
+fn chosen_of(directory: &Directory, host: &str, zone: &str, region: &str) -> String {
     let place = Place { zone: zone.to_string(), region: region.to_string() };
-    directory.choose(&place).join(" ")
+    directory.choose(host, &place).join(" ")
 }
 
 #[test]
@@ -58,7 +77,8 @@
     let prefers = |text: &str| Front { preferred_regions: vec!["west".to_string()], ..front(text) };
     let ready = ["f1 a west ready", "f2 b north ready"].map(front);
     let fronts = |of_the_east: [Front; 2]| ready.iter().cloned().chain(of_the_east).collect();
-    let directory = |fronts| Directory { fronts, complete: true };
+    let homes = homes("h:west h:");
+    let directory = |fronts| Directory { fronts, coverage: Coverage::All, homes: homes.clone() };
 
     let one_of_two = directory(fronts([prefers("f3 c east ready"), front("f4 c east ready")]));
     assert_eq!(chosen(&one_of_two, "c", "east"), "f1");
@@ -73,14 +93,18 @@
 
 #[test]
 fn an_answer_is_never_empty_if_any_front_is_known() {
-    let known = directory(&["f1 a west starting", "f2 b east leaving"]);
+    let fronts = directory(&["f1 a west starting", "f2 b east leaving"]);
+    let known = Directory { homes: homes("h:"), ..fronts.clone() };
     assert_eq!(chosen(&known, "a", "west"), "f1 f2");
+    // Without a configuration any request may have homes.
+    assert_eq!(chosen(&fronts, "a", "west"), "f1");
+    assert_eq!(chosen(&fronts, "c", "north"), "f1 f2");
     assert_eq!(chosen(&directory(&[]), "a", "west"), "");
 }
 
 #[test]
 fn a_process_that_knows_too_little_tells_nothing() {
-    let known = Directory { complete: false, ..directory(&["f1 a west ready"]) };
+    let known = Directory { coverage: Coverage::TooFew, ..directory(&["f1 a west ready"]) };
     assert_eq!(chosen(&known, "a", "west"), "");
 }
 
@@ -88,12 +112,181 @@
 fn at_most_64_addresses_are_told() {
     let fronts: Vec<String> = (0..100).map(|number| format!("f{number} a west ready")).collect();
     let known = directory(&fronts.iter().map(String::as_str).collect::<Vec<_>>());
-    let mut told = known.choose(&Place { zone: "a".to_string(), region: "west".to_string() });
+    let mut told = known.choose("h", &Place { zone: "a".to_string(), region: "west".to_string() });
     told.sort();
     told.dedup();
     assert_eq!(told.len(), 64);
 }
 
+const THREE_REGIONS: [&str; 4] = ["e a east ready", "w b west ready", "x b west ready", "n c north ready"];
+
+/// Where a client of east is sent, by the routes of its host and whether its fronts prefer west.
+#[test]
+fn clients_are_led_only_to_common_homes_of_the_routes_of_their_host() {
+    let table = [
+        // All its routes have their homes elsewhere: nobody has to count.
+        ("h:west", "", "w x"),
+        ("h:west+north", "", "w x n"),
+        ("h:west+north h:west", "", "w x"),
+        ("h:west+north h:west", "north", "w x"),
+        // No region is a home of all.
+        ("h:west h:north", "west", "e"),
+        ("h:west h:north h:", "west north", "e"),
+        // Some of its requests may be served here: the fronts count, within the common homes.
+        ("h:west h:", "", "e"),
+        ("h:west h:", "west", "w x"),
+        ("h:west h:", "north", "e"),
+        ("h:west+north h:", "west", "w x"),
+        ("h:west+north h:east", "west north", "e"),
+        // All of them may be.
+        ("h:", "west", "e"),
+        ("h:east+west h:", "west", "e"),
+        // Other hosts do not matter, unless no route is known for this one.
+        ("h: g:west", "west", "e"),
+        ("g:west", "", "w x"),
+        ("g:west i:north", "west north", "e"),
+    ];
+    for (routes, preferred, expected) in table {
+        let mut known = Directory { homes: homes(routes), ..directory(&THREE_REGIONS) };
+        known.fronts[0].preferred_regions = preferred.split_whitespace().map(str::to_string).collect();
+        assert_eq!(chosen(&known, "a", "east"), expected, "{routes} | {preferred}");
+    }
+}
+
+/// All fronts of a region are restarted at the same time: its clients are sent to a home, and not anywhere.
+#[test]
+fn a_region_all_of_whose_fronts_leave_sends_home_bound_clients_to_other_homes() {
+    let mut known = directory(&["e a east leaving", "f a east leaving", "w b west ready", "n c north ready"]);
+    known.homes = homes("h:east+west g: i:east");
+    assert_eq!(chosen_of(&known, "h", "a", "east"), "w");
+    assert_eq!(chosen_of(&known, "g", "a", "east"), "w n");
+    assert_eq!(chosen_of(&known, "i", "a", "east"), "e f", "there is no other home");
+
+    known.fronts[2] = front("w b west starting");
+    assert_eq!(chosen_of(&known, "h", "a", "east"), "e f w");
+    known.fronts.retain(|front| front.region == "north");
+    assert_eq!(chosen_of(&known, "h", "a", "east"), "n", "no front is left in any home");
+}
+
+#[test]
+fn a_change_of_homes_counts_at_once() {
+    let mut known = directory(&THREE_REGIONS);
+    for (routes, expected) in [("h:west", "w x"), ("h:north", "n"), ("h:east+north", "e"), ("h:", "e")] {
+        known.homes = homes(routes);
+        assert_eq!(chosen(&known, "a", "east"), expected, "{routes}");
+    }
+}
+
+#[test]
+fn before_all_fronts_can_be_known_nobody_is_sent_to_a_region_that_is_no_home() {
+    let known =
+        |coverage| Directory { coverage, homes: homes("h:east g:"), ..directory(&["n c north ready"]) };
+    assert_eq!(chosen(&known(Coverage::Settling), "a", "east"), "");
+    assert_eq!(chosen_of(&known(Coverage::Settling), "g", "a", "east"), "n");
+    assert_eq!(chosen(&known(Coverage::All), "a", "east"), "n");
+}
+
+/// The fronts of a region that is cut off cannot reach the servers elsewhere either.
+#[test]
+fn out_of_touch_clients_who_are_served_better_elsewhere_are_told_to_ask_elsewhere() {
+    let mut known = Directory { homes: homes("h:west g:east i:west i:"), ..directory(&["e a east ready"]) };
+    known.coverage = Coverage::OwnReports;
+    assert_eq!(chosen_of(&known, "h", "a", "east"), "");
+    assert_eq!(chosen_of(&known, "g", "a", "east"), "e");
+    assert_eq!(chosen_of(&known, "i", "a", "east"), "e");
+    known.fronts[0].preferred_regions = vec!["west".to_string()];
+    assert_eq!(chosen_of(&known, "i", "a", "east"), "");
+    known.coverage = Coverage::All;
+    assert_eq!(chosen_of(&known, "h", "a", "east"), "e", "all fronts of the homes are lost");
+}
+
+/// Any fronts, routes of a few hosts, and what the directory knows.
+#[derive(Clone, Debug)]
+struct AnyDirectory {
+    directory: Directory,
+    routes: Vec<(String, Vec<String>)>,
+}
+
+const REGIONS: [&str; 4] = ["east", "west", "north", "south"];
+const HOSTS: [&str; 3] = ["g", "h", "unknown"];
+
+fn some_regions(random: &mut Gen) -> Vec<String> {
+    let chosen = REGIONS.iter().filter(|_| bool::arbitrary(random));
+    chosen.map(|region| region.to_string()).collect()
+}
+
+fn any_front(random: &mut Gen, number: usize) -> Front {
+    let region = *random.choose(&REGIONS).expect("a region");
+    let zone = format!("{region}-{}", random.choose(&["a", "b"]).expect("a zone"));
+    let state = random.choose(&["starting", "ready", "ready", "ready", "leaving"]).expect("a state");
+    let mut preferred_regions = some_regions(random);
+    preferred_regions.retain(|preferred| preferred != region);
+    Front { preferred_regions, ..front(&format!("f{number} {zone} {region} {state}")) }
+}
+
+impl Arbitrary for AnyDirectory {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let count = usize::arbitrary(random) % 10;
+        let fronts = (0..count).map(|number| any_front(random, number)).collect();
+        let coverages = [Coverage::TooFew, Coverage::Settling, Coverage::All, Coverage::OwnReports];
+        let coverage = *random.choose(&coverages).expect("a coverage");
+        let count = usize::arbitrary(random) % 5;
+        let host = |random: &mut Gen| random.choose(&HOSTS[..2]).expect("a host").to_string();
+        let routes: Vec<_> = (0..count).map(|_| (host(random), some_regions(random))).collect();
+        let homes = HomeTable::new(routes.iter().map(|(host, homes)| (host.as_str(), homes.as_slice())));
+        AnyDirectory { directory: Directory { fronts, coverage, homes: Arc::new(homes) }, routes }
+    }
+}
+
+impl AnyDirectory {
+    /// The regions of the fronts that a client is told.
+    fn told_regions(&self, host: &str, region: &str) -> Vec<String> {
+        let place = Place { zone: format!("{region}-a"), region: region.to_string() };
+        let told = self.directory.choose(host, &place);
+        let region_of = |address: &String| {
+            let front = self.directory.fronts.iter().find(|front| front.address == *address);
+            front.expect("a known front").region.clone()
+        };
+        told.iter().map(region_of).collect()
+    }
+
+    /// Whether a front is known in the client's region or in a home of all routes of the host that have homes.
+    fn has_fronts_for(&self, host: &str, region: &str) -> bool {
+        let routes = self.routes.iter().filter(|(of, homes)| of == host && !homes.is_empty());
+        let homes: Vec<_> = routes.map(|(_, homes)| homes).collect();
+        let suits =
+            |front: &Front| front.region == region || homes.iter().all(|homes| homes.contains(&front.region));
+        self.directory.fronts.iter().any(suits)
+    }
+}
+
+/// However the demand is spread over routes and regions, none of it that has homes lands in a third region, as long
+/// as a front is known in the client's region or in a common home, or not all fronts can be known yet.
+#[test]
+fn no_request_with_homes_is_led_to_a_third_region() {
+    fn holds(any: AnyDirectory) -> bool {
+        let clients = HOSTS[..2].iter().flat_map(|host| REGIONS.map(|region| (*host, region)));
+        clients.into_iter().all(|(host, region)| {
+            let bound = any.directory.coverage != Coverage::All || any.has_fronts_for(host, region);
+            let told = any.told_regions(host, region);
+            let routes = any.routes.iter().filter(|(of, homes)| of == host && !homes.is_empty());
+            let third = |homes: &[String]| told.iter().any(|told| told != region && !homes.contains(told));
+            !bound || routes.into_iter().all(|(_, homes)| !third(homes))
+        })
+    }
+    quickcheck::QuickCheck::new().tests(20_000).quickcheck(holds as fn(AnyDirectory) -> bool);
+}
+
+#[test]
+fn once_all_fronts_are_known_somebody_is_told() {
+    fn holds(any: AnyDirectory) -> bool {
+        let is_due = any.directory.coverage == Coverage::All && !any.directory.fronts.is_empty();
+        let clients = HOSTS.iter().flat_map(|host| REGIONS.map(|region| (*host, region)));
+        !is_due || clients.into_iter().all(|(host, region)| !any.told_regions(host, region).is_empty())
+    }
+    quickcheck::QuickCheck::new().tests(5_000).quickcheck(holds as fn(AnyDirectory) -> bool);
+}
+
 struct Told {
     status: u16,
     retry_after: Option<String>,
@@ -129,7 +322,8 @@
             Front { zone: "a b".to_string(), ..front("f2 a west ready") },
             front("f3 c west ready"),
         ],
-        complete: true,
+        coverage: Coverage::All,
+        homes: Arc::default(),
     });
     let mut told = ask(address, "/v1/resolve?Name=x&Region=west&Zone=a%20b");
     assert_eq!(told.status, 200);
--- a/crates/quillpulley/tests/control/directory_view.rs
+++ b/crates/quillpulley/tests/control/directory_view.rs
@@ -1,6 +1,7 @@
 //! What the directory is told of the published state and of the reports to a core process.
 
-use quillpulley::control::directory_view::DirectoryView;
+use quillpulley::control::directory::{Coverage, Directory};
+use quillpulley::control::directory_view::{DirectoryView, Known};
 use quillpulley_configuration::published::front_key;
 use quillpulley_feed::{Change, Event, FeedNode, Options, Subtree};
 use quillpulley_wire::{encode_value, Front, FrontState};
@@ -35,21 +36,60 @@
     format!("{}:{state}{}", front.name, front.life)
 }
 
-/// What is told with these fronts published and reported; in brackets if they may not be all.
-fn told(view: &mut DirectoryView, milliseconds: u64, fresh: bool, published: &str, reported: &str) -> String {
+/// What a view tells with these fronts published, the latest stamp of which came at `moved`, and these reported.
+/// Reports are written as fronts, and as `!f:m,n` where `m` and `n` cannot reach `f`.
+struct Moment<'a> {
+    now: u64,
+    moved: u64,
+    fresh: bool,
+    epoch: u64,
+    published: &'a str,
+    reported: &'a str,
+}
+
+fn subtree(text: &str) -> Subtree {
+    let (suspicions, fronts): (Vec<&str>, Vec<&str>) =
+        text.split_whitespace().partition(|entry| entry.starts_with('!'));
+    let suspicion = |text: &str| {
+        let (suspect, monitors) = text[1..].split_once(':').expect("monitors");
+        (suspect.to_string(), monitors.split(',').map(str::to_string).collect())
+    };
+    Subtree {
+        fronts: fronts.into_iter().map(|text| (front(text).name, front(text))).collect(),
+        suspicions: suspicions.into_iter().map(suspicion).collect(),
+        ..Subtree::default()
+    }
+}
+
+fn directory(view: &mut DirectoryView, moment: &Moment) -> Directory {
     let mut root = FeedNode::<u32>::new(Options::core("core"));
     let publish = |text| Change { key: front_key(&front(text).name), value: Some(encode_value(front(text))) };
-    let changes = published.split_whitespace().map(publish).collect();
-    root.handle(Duration::ZERO, Event::BecomeRoot { epoch: 1 }, &mut Vec::new());
+    let changes = moment.published.split_whitespace().map(publish).collect();
+    root.handle(Duration::ZERO, Event::BecomeRoot { epoch: moment.epoch }, &mut Vec::new());
     root.handle(Duration::ZERO, Event::Publish(changes), &mut Vec::new());
-    let fronts = reported.split_whitespace().map(|text| (front(text).name, front(text)));
-    let subtree = Subtree { fronts: fronts.collect(), ..Subtree::default() };
-    let directory = view.directory(Duration::from_millis(milliseconds), fresh, root.store(), &subtree);
+    let known = Known {
+        fresh: moment.fresh,
+        last_moved: Some(Duration::from_millis(moment.moved)),
+        epoch: moment.epoch,
+        store: root.store(),
+        subtree: &subtree(moment.reported),
+    };
+    view.directory(Duration::from_millis(moment.now), &known)
+}
+
+fn shown(directory: &Directory) -> String {
     let shown: Vec<String> = directory.fronts.iter().map(show).collect();
-    if directory.complete {
-        shown.join(" ")
+    shown.join(" ")
+}
+
+/// What is told at a time; in brackets if it may not be all.
+fn told(view: &mut DirectoryView, now: u64, fresh: bool, published: &str, reported: &str) -> String {
+    let moved = if fresh { now } else { 0 };
+    let directory = directory(view, &Moment { now, moved, fresh, epoch: 1, published, reported });
+    if directory.coverage == Coverage::TooFew {
+        format!("({})", shown(&directory))
     } else {
-        format!("({})", shown.join(" "))
+        shown(&directory)
     }
 }
 
@@ -73,10 +113,125 @@
     assert_eq!(told(&mut view, 1000, false, "", "f:r1"), "(f:r1)");
     assert_eq!(told(&mut view, 2499, false, "", "f:r1"), "(f:r1)");
     assert_eq!(told(&mut view, 2500, false, "", "f:r1"), "f:r1");
+    // A front whose agent may be changing its parent counts for two seconds more.
+    assert_eq!(told(&mut view, 4499, false, "", ""), "f:r1");
     // Once it knew enough it does not doubt any more.
-    assert_eq!(told(&mut view, 2600, false, "", ""), "");
+    assert_eq!(told(&mut view, 4500, false, "", ""), "");
 
     let mut view = DirectoryView::default();
     assert_eq!(told(&mut view, 10, false, "f:r1", ""), "(f:r1)");
     assert_eq!(told(&mut view, 20, true, "f:r1", ""), "f:r1");
 }
+
+/// Lines are a time in ms, when the latest stamp came, `fresh` or `stale`, what is published, what is reported, and
+/// what the directory tells, with `own` before it if these are the own reports alone.
+fn play(timeline: &str) {
+    let mut view = DirectoryView::default();
+    for line in timeline.lines().map(str::trim).filter(|line| !line.is_empty()) {
+        let columns: Vec<&str> = line.split('|').map(str::trim).collect();
+        let [now, moved, freshness, published, reported, expected] = columns[..] else {
+            panic!("six columns: {line}")
+        };
+        let (now, moved) = (now.parse().expect("a time"), moved.parse().expect("a time"));
+        let moment = Moment { now, moved, fresh: freshness == "fresh", epoch: 1, published, reported };
+        let directory = directory(&mut view, &moment);
+        let own = if directory.coverage == Coverage::OwnReports { "own " } else { "" };
+        assert_eq!(format!("{own}{}", shown(&directory)).trim(), expected, "{line}");
+    }
+}
+
+#[test]
+fn three_seconds_after_the_latest_news_only_the_own_reports_count() {
+    play(
+        "
+           0 |   0 | fresh | f:r1 g:r1 | f:r1      | f:r1 g:r1
+         900 | 900 | fresh | f:r1 g:r1 | f:r1      | f:r1 g:r1
+        2000 | 900 | stale | f:r1 g:r1 | f:r1 h:r1 | f:r1 g:r1 h:r1
+        3899 | 900 | stale | f:r1 g:r1 | f:r1 h:r1 | f:r1 g:r1 h:r1
+        3900 | 900 | stale | f:r1 g:r1 | f:r1 h:r1 | own f:r1 h:r1
+        9000 | 900 | stale | f:r1 g:r1 | f:r1      | own f:r1
+        9100 |9100 | fresh | f:r1 g:r1 | f:r1      | f:r1 g:r1
+        ",
+    );
+}
+
+#[test]
+fn a_front_that_dies_while_its_directory_is_out_of_touch_is_told_two_seconds_more() {
+    play(
+        "
+           0 | 0 | fresh | f:r1 g:r1 | f:r1 g:r1 | f:r1 g:r1
+        8000 | 0 | stale | f:r1 g:r1 | f:r1 g:r1 | own f:r1 g:r1
+        8050 | 0 | stale | f:r1 g:r1 | f:r1      | own f:r1 g:r1
+        9999 | 0 | stale | f:r1 g:r1 | f:r1      | own f:r1 g:r1
+       10000 | 0 | stale | f:r1 g:r1 | f:r1      | own f:r1
+       10050 | 0 | stale | f:r1 g:r1 |           | own f:r1
+       12000 | 0 | stale | f:r1 g:r1 |           | own
+       12100 | 0 | stale | f:r1 g:r1 | g:s2      | own g:s2
+        ",
+    );
+}
+
+#[test]
+fn an_agent_that_changes_its_parent_is_not_missed_out_of_touch() {
+    play(
+        "
+           0 | 0 | fresh | f:r1 | f:r1 | f:r1
+        5000 | 0 | stale | f:r1 | f:r1 | own f:r1
+        6900 | 0 | stale | f:r1 |      | own f:r1
+        6950 | 0 | stale | f:r1 | f:r1 | own f:r1
+        8900 | 0 | stale | f:r1 |      | own f:r1
+        ",
+    );
+}
+
+#[test]
+fn a_front_that_two_monitors_cannot_reach_is_not_told_without_news_either() {
+    play(
+        "
+           0 | 0 | fresh | f:r1 g:r1 | f:r1 g:r1          | f:r1 g:r1
+        1500 | 0 | stale | f:r1 g:r1 | f:r1 g:r1 !f:h     | f:r1 g:r1
+        1600 | 0 | stale | f:r1 g:r1 | f:r1 g:r1 !f:h,i   | g:r1
+        5000 | 0 | stale | f:r1 g:r1 | f:r1 g:r1 !f:h,i   | own g:r1
+        5100 | 0 | stale | f:r1 g:r1 | f:r1 g:r1 !f:h     | own f:r1 g:r1
+        ",
+    );
+}
+
+#[test]
+fn a_front_that_leaves_is_told_as_leaving_at_once_in_touch_or_not() {
+    play(
+        "
+           0 | 0 | fresh | f:r1 g:r1 | f:r1 g:r1 | f:r1 g:r1
+         100 |100| fresh | f:l1 g:r1 | f:l1 g:r1 | f:l1 g:r1
+        1500 |100| stale | f:l1 g:r1 | f:l1 g:l1 | f:l1 g:l1
+        5000 |100| stale | f:l1 g:r1 | f:l1 g:l1 | own f:l1 g:l1
+        ",
+    );
+}
+
+#[test]
+fn a_directory_settles_three_seconds_after_its_start_and_after_each_election() {
+    let mut view = DirectoryView::default();
+    let mut coverage = |now, epoch| {
+        let moment = Moment { now, moved: now, fresh: true, epoch, published: "f:r1", reported: "" };
+        directory(&mut view, &moment).coverage
+    };
+    assert_eq!(coverage(0, 1), Coverage::Settling);
+    assert_eq!(coverage(2999, 1), Coverage::Settling);
+    assert_eq!(coverage(3000, 1), Coverage::All);
+    assert_eq!(coverage(9000, 2), Coverage::Settling);
+    assert_eq!(coverage(11_999, 2), Coverage::Settling);
+    assert_eq!(coverage(12_000, 2), Coverage::All);
+}
+
+#[test]
+fn time_alone_changes_what_is_told_only_while_something_is_open() {
+    let mut view = DirectoryView::default();
+    let mut is_waiting_after = |now, moved, fresh| {
+        directory(&mut view, &Moment { now, moved, fresh, epoch: 1, published: "f:r1", reported: "" });
+        [true, false].map(|fresh| view.is_waiting(fresh))
+    };
+    assert_eq!(is_waiting_after(0, 0, true), [true, true], "an election has just been");
+    assert_eq!(is_waiting_after(3000, 3000, true), [false, true]);
+    assert_eq!(is_waiting_after(4100, 3000, false), [true, true], "news are missing");
+}
--- a/crates/routing/src/home_demand.rs
+++ b/crates/routing/src/home_demand.rs
@@ -1,5 +1,8 @@
 //! Where the requests that come to a limiter may be served: if most of them have their homes in other regions, their
 //! clients are better served by the fronts there, and a cut between the regions does not part them from servers.
+//!
+//! It counts requests of hosts only some of whose requests may be served here: for other hosts the configuration
+//! alone tells (see [`HostHomes`](crate::HostHomes)).
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -32,6 +35,11 @@
         HomeDemand { region, ..HomeDemand::default() }
     }
 
+    /// The region of the limiter.
+    pub fn region(&self) -> &str {
+        &self.region
+    }
+
     /// Counts a request that may be served in `homes`; anywhere if there are none.
     pub fn count(&mut self, now: Duration, homes: &[String]) {
         self.fade(now);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod balancer;
 mod demand;
 mod home_demand;
+mod host_homes;
 mod route_table;
 mod waiting;
 
@@ -20,5 +21,6 @@
 };
 pub use demand::{Demand, PromptPart};
 pub use home_demand::HomeDemand;
+pub use host_homes::{HomeTable, HostHomes, ServedIn};
 pub use route_table::{pick_service, RouteTable};
 pub use waiting::{Queued, Terms, Waiting, WaitingKey, WaitingLimits};
--- a/crates/routing/src/route_table.rs
+++ b/crates/routing/src/route_table.rs
@@ -39,7 +39,7 @@
     /// The route with the longest prefix that begins the path, among those of the host. `host` may carry a port,
     /// and `path` a query.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        let routes = self.hosts.get(&*lower_case(without_port(host)))?;
+        let routes = self.hosts.get(&*host_key(host))?;
         let path = path.split(['?', '#']).next().unwrap_or(path);
         let routes_of = |index: &usize| &self.routes[*index];
         let at_slash = routes.find_at_slash(path).map(|index| &self.routes[index]);
@@ -81,6 +81,11 @@
     picked.or_else(weighted).map(|share| share.service.as_str())
 }
 
+/// What a host is looked up by: without its port and in lower case.
+pub(crate) fn host_key(host: &str) -> Cow<'_, str> {
+    lower_case(without_port(host))
+}
+
 /// The host without its port; an IPv6 address keeps its brackets.
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
--- /dev/null
+++ b/crates/routing/tests/host_homes.rs
@@ -0,0 +1,61 @@
+//! Where the requests of a host may be served, as the routes in force say.
+
+use quillpulley_routing::{HomeTable, ServedIn};
+
+/// Routes as `host:home+home`, with nothing after the colon where there are no homes.
+fn table(routes: &str) -> HomeTable {
+    let routes: Vec<(&str, Vec<String>)> = routes.split_whitespace().map(route).collect();
+    HomeTable::new(routes.iter().map(|(host, homes)| (*host, homes.as_slice())))
+}
+
+fn route(text: &str) -> (&str, Vec<String>) {
+    let (host, homes) = text.split_once(':').expect("homes");
+    (host, homes.split('+').filter(|home| !home.is_empty()).map(str::to_string).collect())
+}
+
+/// What may be served of a host in east, west and north; with a star where all routes with homes have one there.
+fn served(table: &HomeTable, host: &str) -> String {
+    let homes = table.of(host);
+    let shown = ["east", "west", "north"].map(|region| {
+        let served = match homes.served_in(region) {
+            ServedIn::All => "all",
+            ServedIn::Some => "some",
+            ServedIn::None => "none",
+        };
+        format!("{served}{}", if homes.is_common_home(region) { "*" } else { "" })
+    });
+    shown.join(" ")
+}
+
+#[test]
+fn routes_without_homes_may_be_served_everywhere() {
+    assert_eq!(served(&table("h: h:"), "h"), "all* all* all*");
+}
+
+#[test]
+fn all_routes_with_homes_bind() {
+    assert_eq!(served(&table("h:east+west"), "h"), "all* all* none");
+    assert_eq!(served(&table("h:east+west h:"), "h"), "all* all* some");
+    assert_eq!(served(&table("h:east+west h:west+north"), "h"), "some all* some");
+    assert_eq!(served(&table("h:east h:west"), "h"), "some some none");
+    assert_eq!(served(&table("h:east h:west h:"), "h"), "some some some");
+}
+
+#[test]
+fn hosts_have_their_own_routes() {
+    let table = table("h:east g:west");
+    assert_eq!(served(&table, "h"), "all* none none");
+    assert_eq!(served(&table, "g"), "none all* none");
+    assert_eq!(served(&table, "H:8080"), "all* none none", "the port and the case do not matter");
+}
+
+#[test]
+fn a_host_that_no_route_names_is_bound_by_all_routes() {
+    assert_eq!(served(&table("h:east+west g:west i:"), "new"), "some all* some");
+}
+
+#[test]
+fn without_a_configuration_no_region_is_a_home_for_sure() {
+    assert_eq!(served(&HomeTable::default(), "h"), "some some some");
+    assert_eq!(served(&table(""), "h"), "some some some");
+}
