Refuse what a leaving proxy may not be able to finish, by one rule

Cause: a proxy that was told to end took every request for 5 s of a GraceS of 8, whatever its time-out, and cut at 7.5 s what was still under way. A stream with a time-out of 15 s that came 5.4 s after SIGTERM was cut in the middle of its answer (LOST).

Change: a pure type, Departure, knows when the proxy was told, its grace, and for each request when it came and when its answer is due (the route's TimeoutMs or the client's deadline, whichever is earlier). All are taken for 2.9 s; after that only those that are due before the process ends. Others get 503 with Retry-After: 0 before they are passed on. Idle connections are closed from then on, 2.1 s earlier than before. What has no answer 0.1 s before the end gets one: 503 if it cannot have run, else 504.

A promise tells the client more than a connection that fails, so the listener stays.

Tests: proxy_departure (timelines, two random ones), proxy life::told_to_end_it_takes_only_what_is_sure_to_end_in_time and life::what_is_unanswered_when_it_ends_gets_an_answer (both fail without the change), streams::a_stream_whose_time_is_over_ends_then_and_does_not_look_complete.

--- a/crates/quillpulley/src/proxy/forward.rs
+++ b/crates/quillpulley/src/proxy/forward.rs
@@ -111,10 +111,12 @@
 
     async fn in_time(&mut self, resume_after: Option<Bytes>) -> Result<Answer, Unanswered> {
         let due = self.job.request.due;
+        let plane = self.plane.clone();
         let ended = tokio::select! {
             biased;
             ended = self.run(resume_after.as_deref()) => ended,
             () = sleep_until(due) => Err(self.time_up()),
+            () = plane.last_call() => Err(self.time_up()),
         };
         ended.map_err(|ending| self.unanswered(ending))
     }
--- a/crates/quillpulley/src/proxy/front.rs
+++ b/crates/quillpulley/src/proxy/front.rs
@@ -22,6 +22,8 @@
 
 /// When a client may come again where the memory for bodies is taken, or its request is open already.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// When it may come again where this proxy ends too soon: at once, as others serve it.
+const LEAVING_RETRY_AFTER: Duration = Duration::ZERO;
 /// So much of what comes in is recorded: enough to tell that a request has begun.
 pub const RECORDED: usize = 1;
 
@@ -76,6 +78,9 @@
         let plan = plan.ok_or(before_body(OwnAnswer::status(StatusCode::NOT_FOUND)))?;
         self.plane.count_homes(&in_force, host, &plan.homes);
         let due = head.due(arrived, plan.timeout);
+        if !self.plane.takes(arrived, due) {
+            return Err(before_body(OwnAnswer::refusal(LEAVING_RETRY_AFTER)));
+        }
         let mut held = self.plane.bodies().hold();
         let reading = read_body(body, limits.max_body_bytes as usize, &mut held);
         let body = timeout_at(due, reading).await;
--- a/crates/quillpulley/src/proxy/mod.rs
+++ b/crates/quillpulley/src/proxy/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 pub mod answer;
 pub mod attempts;
+pub mod departure;
 pub mod events;
 mod exchange;
 mod feed_client;
--- a/crates/quillpulley/src/proxy/plane.rs
+++ b/crates/quillpulley/src/proxy/plane.rs
@@ -1,6 +1,7 @@
 //! What all requests of a proxy share: the configuration in force, the choice of servers, budgets and connections.
 
 use super::admission::Admission;
+use super::departure::Departure;
 use super::health::Failures;
 use super::lifecycle::{self, Lifecycle};
 use super::memory::BodyBudget;
@@ -15,6 +16,7 @@
 use std::collections::{BTreeSet, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// What a plane is made of.
@@ -46,6 +48,8 @@
     open_ids: RefCell<HashSet<HeaderValue>>,
     fronts: Cell<usize>,
     lifecycle: Cell<Lifecycle>,
+    departure: Cell<Option<Departure>>,
+    last_call: Notify,
     home_demand: RefCell<HomeDemand>,
 }
 
@@ -65,6 +69,8 @@
             open_ids: RefCell::default(),
             fronts: Cell::new(1),
             lifecycle: Cell::default(),
+            departure: Cell::default(),
+            last_call: Notify::new(),
             home_demand: RefCell::new(HomeDemand::new(region)),
         })
     }
@@ -79,6 +85,11 @@
         time.saturating_duration_since(self.started)
     }
 
+    /// A time since the start as one of the clock.
+    pub fn at(&self, time: Duration) -> Instant {
+        self.started + time
+    }
+
     /// After what time clients may try again while no configuration is known.
     pub fn starting_retry_after(&self) -> Duration {
         lifecycle::retry_after_start(self.now())
@@ -169,10 +180,28 @@
     }
 
     /// The process has been told to end.
-    pub fn leave(&self) {
+    pub fn leave(&self, departure: Departure) {
+        self.departure.set(Some(departure));
         self.change_lifecycle(lifecycle::Event::Stop);
     }
 
+    /// Whether a request is taken that came then, and whose answer is due then at the latest.
+    pub fn takes(&self, arrived: Instant, due: Instant) -> bool {
+        let taken_by =
+            |departure: Departure| departure.takes(self.since_start(arrived), self.since_start(due));
+        self.departure.get().is_none_or(taken_by)
+    }
+
+    /// Has all requests answered that have no answer yet: the process ends.
+    pub fn call_last(&self) {
+        self.last_call.notify_waiters();
+    }
+
+    /// Waits until whatever has no answer yet is to get one, as the process ends.
+    pub async fn last_call(&self) {
+        self.last_call.notified().await;
+    }
+
     /// The published state is fresh.
     pub fn set_fresh(&self) {
         self.change_lifecycle(lifecycle::Event::Fresh);
--- a/crates/quillpulley/src/proxy/server.rs
+++ b/crates/quillpulley/src/proxy/server.rs
@@ -1,6 +1,7 @@
 //! Starts the parts of a proxy and ends them.
 
 use super::admission::Admission;
+use super::departure::Departure;
 use super::feed_client::FeedClient;
 use super::front::{FrontService, RECORDED};
 use super::health::check_servers;
@@ -21,7 +22,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{interval, sleep_until, timeout_at, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep_until, timeout_at, MissedTickBehavior};
 
 /// Descriptors that are none of the process's sockets.
 const RESERVED_FILES: usize = 200;
@@ -40,12 +41,6 @@
 const MIN_BUFFER: usize = 8 * 1024;
 /// The time between two looks at which connections have been idle or slow for too long.
 const SWEEP: Duration = Duration::from_millis(500);
-/// The process ends so long before it would be killed.
-const END_MARGIN: Duration = Duration::from_millis(500);
-/// What is under way when clients stop coming has this time at least.
-const FINISH_TIME: Duration = Duration::from_secs(3);
-/// Clients may hold on to an address for twice its time to live.
-const TTL_FACTOR: u32 = 2;
 
 /// Where a proxy can be reached.
 pub struct Listeners {
@@ -127,16 +122,19 @@
 
     /// Tells everybody that it leaves, serves those who still come, and finishes what is under way.
     async fn drain(self, settings: &Settings) {
-        let told = Instant::now();
-        let (grace, ttl) = (settings.bounds.grace, settings.bounds.ttl_max);
-        log::info!("told to end: {} requests are under way", self.plane.open_requests());
-        self.plane.leave();
+        let plane = &self.plane;
+        let departure = Departure::new(plane.now(), settings.bounds.grace);
+        log::info!("told to end: {} requests are under way", plane.open_requests());
+        plane.leave(departure);
         self.news.notify_one();
-        sleep_until(told + (ttl * TTL_FACTOR).min(grace.saturating_sub(FINISH_TIME))).await;
+        sleep_until(plane.at(departure.takes_all_until())).await;
         self.clients.set_draining();
-        let latest = told + grace.saturating_sub(END_MARGIN);
-        if timeout_at(latest, self.clients.all_closed()).await.is_err() {
-            log::warn!("{} requests could not be finished in time", self.plane.open_requests());
+        if timeout_at(plane.at(departure.last_answer_at()), self.clients.all_closed()).await.is_ok() {
+            return;
+        }
+        plane.call_last();
+        if timeout_at(plane.at(departure.ends_at()), self.clients.all_closed()).await.is_err() {
+            log::warn!("{} requests could not be finished in time", plane.open_requests());
         }
     }
 }
--- a/crates/quillpulley/tests/proxy/life.rs
+++ b/crates/quillpulley/tests/proxy/life.rs
@@ -111,3 +111,46 @@
         assert_eq!(client.answer().await.text(), "ok");
     });
 }
+
+#[test]
+fn told_to_end_it_takes_only_what_is_sure_to_end_in_time() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let configuration = configuration(1, &[&route("a", "non_idempotent", "")]);
+        let proxy = Proxy::start_with("GraceS = 2", &configuration, &[&one]).await;
+        proxy.commands.send(Command::Stop).expect("the proxy runs");
+        proxy.agent.until_front(FrontState::Leaving).await;
+
+        // The time-out of its route is after the end of the process: it is not passed on.
+        let mut client = proxy.client().await;
+        let answer = client.ask(&request("POST /a/b", "long", "", "work")).await;
+        assert_eq!(answer.status(), 503);
+        assert_eq!(answer.header("retry-after"), Some("0.000"));
+        assert_eq!(answer.header("connection"), Some("close"));
+        assert!(client.is_closed().await);
+        assert!(!one.has_call());
+
+        let mut client = proxy.client().await;
+        client.send(&request("POST /a/b", "short", "Quillpulley-Deadline-Ms: 500\r\n", "work")).await;
+        one.call().await.serve("in time").await;
+        assert_eq!(client.answer().await.text(), "in time");
+        proxy.ended.await.expect("it ends by itself");
+    });
+}
+
+#[test]
+fn what_is_unanswered_when_it_ends_gets_an_answer() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let configuration = configuration(1, &[&route("a", "non_idempotent", "\"TimeoutMs\":60000")]);
+        let proxy = Proxy::start_with("GraceS = 1", &configuration, &[&one]).await;
+        let mut silent = proxy.client().await;
+        silent.send(&request("POST /a/b", "silent", "", "work")).await;
+        let call = one.call().await;
+        proxy.commands.send(Command::Stop).expect("the proxy runs");
+        // It may have run, so that the answer promises nothing.
+        assert_eq!(silent.answer().await.status(), 504);
+        call.left().await;
+        proxy.ended.await.expect("it ends by itself");
+    });
+}
--- a/crates/quillpulley/tests/proxy/streams.rs
+++ b/crates/quillpulley/tests/proxy/streams.rs
@@ -146,3 +146,25 @@
         assert!(client.breaks_off().await);
     });
 }
+
+#[test]
+fn a_stream_whose_time_is_over_ends_then_and_does_not_look_complete() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let routes = [
+            route("s", "streaming", "\"TimeoutMs\":300"),
+            route("r", "streaming", "\"TimeoutMs\":300,\"Resumable\":true,\"MaxAttempts\":3"),
+        ];
+        let proxy = Proxy::start(&configuration(1, &[&routes[0], &routes[1]]), &[&one]).await;
+        for path in ["/s/x", "/r/x"] {
+            let mut client = asked(&proxy, path, "").await;
+            let mut call = one.call().await;
+            call.begin_stream().await;
+            call.chunk("id: 1\ndata: a\n\n").await;
+            client.head().await;
+            assert!(client.chunk().await.is_some());
+            assert!(client.breaks_off().await);
+            call.left().await;
+        }
+    });
+}
--- /dev/null
+++ b/crates/quillpulley/tests/proxy_departure.rs
@@ -0,0 +1,96 @@
+//! What a proxy that has been told to end still takes, as timelines.
+
+use quickcheck::quickcheck;
+use quillpulley::proxy::departure::Departure;
+use std::time::Duration;
+
+/// A proxy is told to end at 1,000 ms and would be killed 8,000 ms later. A column each: when a request comes, the
+/// time-out of its route, the deadline of its client, and whether it is taken.
+const GRACE_OF_8_S: &str = "
+    came | time-out | deadline | taken
+    1000 |    15000 |    15000 | yes
+    3900 |    15000 |    15000 | yes
+    3901 |    15000 |    15000 | no
+    3901 |     4499 |    15000 | yes
+    3901 |     4500 |    15000 | no
+    3901 |    15000 |     4499 | yes
+    3901 |    15000 |     4500 | no
+    6400 |     3000 |     3000 | no
+    5400 |     3000 |     3000 | yes
+    8300 |      100 |    15000 | yes
+    8301 |      100 |    15000 | no
+    8399 |    15000 |        1 | yes
+    8400 |    15000 |        1 | no
+    9500 |      100 |      100 | no
+";
+
+/// The same where it would be killed 4,000 ms later.
+const GRACE_OF_4_S: &str = "
+    came | time-out | deadline | taken
+    2000 |    15000 |    15000 | yes
+    2001 |    15000 |    15000 | no
+    2001 |     2399 |    15000 | yes
+    2001 |     2400 |    15000 | no
+";
+
+/// The same where it would be killed 1,000 ms later.
+const GRACE_OF_1_S: &str = "
+    came | time-out | deadline | taken
+    1000 |    15000 |    15000 | yes
+    1001 |    15000 |    15000 | no
+    1001 |      399 |    15000 | yes
+    1001 |    15000 |      400 | no
+";
+
+/// The same where it is killed at once.
+const NO_GRACE: &str = "
+    came | time-out | deadline | taken
+    1001 |    15000 |        1 | no
+";
+
+const TOLD: Duration = Duration::from_millis(1_000);
+
+#[test]
+fn late_requests_are_taken_only_if_they_are_sure_to_end_in_time() {
+    for (grace, timeline) in [(8, GRACE_OF_8_S), (4, GRACE_OF_4_S), (1, GRACE_OF_1_S), (0, NO_GRACE)] {
+        let departure = Departure::new(TOLD, Duration::from_secs(grace));
+        for line in timeline.lines().map(str::trim).filter(|line| !line.is_empty()).skip(1) {
+            let columns: Vec<&str> = line.split('|').map(str::trim).collect();
+            let (came, timeout) = (milliseconds(columns[0]), milliseconds(columns[1]));
+            let due = came + timeout.min(milliseconds(columns[2]));
+            assert_eq!(departure.takes(came, due), columns[3] == "yes", "{grace} s: {line}");
+        }
+    }
+}
+
+#[test]
+fn it_ends_half_a_second_before_it_would_be_killed() {
+    let departure = Departure::new(TOLD, Duration::from_secs(8));
+    let times = [departure.takes_all_until(), departure.last_answer_at(), departure.ends_at()];
+    assert_eq!(times.map(|time| time.as_millis()), [3_900, 8_400, 8_500]);
+}
+
+quickcheck! {
+    /// What came later than 3 s after the order to end is over before the process ends, for any grace.
+    fn nothing_that_came_late_is_cut(told: u16, grace: u16, came_after: u16, lasts: u16) -> bool {
+        let [told, grace, came_after, lasts] =
+            [told, grace, came_after, lasts].map(|time| Duration::from_millis(time.into()));
+        let departure = Departure::new(told, grace);
+        let (came, due) = (told + came_after, told + came_after + lasts);
+        let late = came_after > Duration::from_secs(3);
+        !(late && departure.takes(came, due)) || due < departure.ends_at()
+    }
+
+    /// Once a request is refused, none that lasts as long is taken later.
+    fn what_is_refused_stays_refused(grace: u16, came_after: u16, later: u16, lasts: u16) -> bool {
+        let [grace, came_after, later, lasts] =
+            [grace, came_after, later, lasts].map(|time| Duration::from_millis(time.into()));
+        let departure = Departure::new(TOLD, grace);
+        let taken = |after: Duration| departure.takes(TOLD + after, TOLD + after + lasts);
+        taken(came_after) || !taken(came_after + later)
+    }
+}
+
+fn milliseconds(text: &str) -> Duration {
+    Duration::from_millis(text.parse().expect("a number"))
+}
