Answer 503 and not 404 for unknown paths without fresh published state

Cause: a proxy that is cut off, or that has started and not heard anything fresh yet, knows the routes of an older configuration only. Its 404 for a route that was added meanwhile is final for the client (DENIED, CONFIG), though another proxy may know the route.

Change: where the published state was not fresh within the last second, a path without a route gets 503 with Retry-After: 0.5. Routes that are known are served on as before.

Read against the code without need of a change, with a test each: a configuration that removes or moves routes, shortens time-outs or IdleTimeoutMs cuts nothing under way; a client that leaves while it waits for a place or sends its body reaches no server; a body that does not end is answered at TimeoutMs.

--- a/crates/quillpulley/src/proxy/front.rs
+++ b/crates/quillpulley/src/proxy/front.rs
@@ -24,6 +24,8 @@
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// When it may come again where this proxy ends too soon: at once, as others serve it.
 const LEAVING_RETRY_AFTER: Duration = Duration::ZERO;
+/// When it may come again where no route is known for it, and none of late is known either.
+const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// So much of what comes in is recorded: enough to tell that a request has begun.
 pub const RECORDED: usize = 1;
 
@@ -75,7 +77,7 @@
         let head = RequestHead::read(head)?;
         let host = head.host.to_str().unwrap_or_default();
         let plan = in_force.find(host, head.target.path());
-        let plan = plan.ok_or(before_body(OwnAnswer::status(StatusCode::NOT_FOUND)))?;
+        let plan = plan.ok_or_else(|| before_body(self.no_route()))?;
         self.plane.count_homes(&in_force, host, &plan.homes);
         let due = head.due(arrived, plan.timeout);
         if !self.plane.takes(arrived, due) {
@@ -91,6 +93,14 @@
         Ok(Taken { job: Job { request, plan }, open, held })
     }
 
+    /// Where the published state is not fresh, another proxy may know a route that this one has not heard of.
+    fn no_route(&self) -> OwnAnswer {
+        match self.plane.is_fresh() {
+            true => OwnAnswer::status(StatusCode::NOT_FOUND),
+            false => OwnAnswer::refusal(STALE_RETRY_AFTER),
+        }
+    }
+
     async fn forward(&self, taken: Taken) -> Result<Reply, OwnAnswer> {
         let Taken { job, open, held } = taken;
         let mut forwarding = Box::new(Forwarding::new(self.plane.clone(), job));
--- a/crates/quillpulley/src/proxy/plane.rs
+++ b/crates/quillpulley/src/proxy/plane.rs
@@ -19,6 +19,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// The published state is looked at several times within this time; if it was fresh at none of these, it is stale.
+const STALE_AFTER: Duration = Duration::from_secs(1);
+
 /// What a plane is made of.
 pub struct Parts {
     /// The region of this proxy.
@@ -50,6 +53,7 @@
     lifecycle: Cell<Lifecycle>,
     departure: Cell<Option<Departure>>,
     last_call: Notify,
+    fresh_at: Cell<Option<Duration>>,
     home_demand: RefCell<HomeDemand>,
 }
 
@@ -71,6 +75,7 @@
             lifecycle: Cell::default(),
             departure: Cell::default(),
             last_call: Notify::new(),
+            fresh_at: Cell::default(),
             home_demand: RefCell::new(HomeDemand::new(region)),
         })
     }
@@ -202,8 +207,14 @@
         self.last_call.notified().await;
     }
 
+    /// Whether the published state is fresh. If not, there may be routes that this proxy has not heard of.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh_at.get().is_some_and(|fresh_at| self.now().saturating_sub(fresh_at) < STALE_AFTER)
+    }
+
     /// The published state is fresh.
     pub fn set_fresh(&self) {
+        self.fresh_at.set(Some(self.now()));
         self.change_lifecycle(lifecycle::Event::Fresh);
     }
 
--- a/crates/quillpulley/tests/proxy/life.rs
+++ b/crates/quillpulley/tests/proxy/life.rs
@@ -154,3 +154,64 @@
         proxy.ended.await.expect("it ends by itself");
     });
 }
+
+#[test]
+fn without_fresh_news_it_says_of_no_route_that_it_does_not_exist() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let proxy = Proxy::start(&configuration(1, &[&route("a", "idempotent", "")]), &[&one]).await;
+        let mut client = proxy.client().await;
+        let unknown = |number: usize| request("GET /new/x", &format!("unknown-{number}"), "", "");
+        assert_eq!(client.ask(&unknown(0)).await.status(), 404);
+        proxy.agent.kill().await;
+        let mut asked = 0;
+        let refusal = loop {
+            asked += 1;
+            let answer = client.ask(&unknown(asked)).await;
+            if answer.status() != 404 {
+                break answer;
+            }
+        };
+        assert_eq!(refusal.status(), 503);
+        assert_eq!(refusal.header("retry-after"), Some("0.500"));
+        client.send(&request("GET /a/b", "known", "", "")).await;
+        one.call().await.serve("ok").await;
+        assert_eq!(client.answer().await.status(), 200);
+    });
+}
+
+#[test]
+fn a_configuration_cuts_nothing_that_is_under_way() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let long = "\"TimeoutMs\":15000";
+        let routes = [route("a", "non_idempotent", long), route("s", "streaming", long)];
+        let proxy = Proxy::start(&configuration(1, &[&routes[0], &routes[1]]), &[&one]).await;
+        let mut plain = proxy.client().await;
+        plain.send(&request("POST /a/b", "plain", "", "work")).await;
+        let plain_call = one.call().await;
+        let mut streamed = proxy.client().await;
+        streamed.send(&request("POST /s/b", "streamed", "", "work")).await;
+        let mut stream_call = one.call().await;
+        stream_call.begin_stream().await;
+        assert_eq!(streamed.head().await.status(), 200);
+        let mut idle = proxy.client().await;
+        idle.send(&request("POST /a/b", "idle", "", "work")).await;
+        one.call().await.serve("ok").await;
+        assert_eq!(idle.answer().await.status(), 200);
+
+        // The one route is gone, the other goes elsewhere with the least time-out, and so do idle connections end.
+        let elsewhere = route("s", "streaming", "\"Service\":\"none\",\"TimeoutMs\":1");
+        let least_idle =
+            configuration(2, &[&elsewhere]).replace("\"IdleTimeoutMs\":15000", "\"IdleTimeoutMs\":1");
+        proxy.agent.publish_configuration(&least_idle);
+        assert!(idle.is_closed().await);
+
+        plain_call.serve("done").await;
+        assert_eq!(plain.answer().await.text(), "done");
+        stream_call.chunk("id: 1\ndata: a\n\n").await;
+        assert!(streamed.chunk().await.is_some());
+        stream_call.end_stream().await;
+        assert_eq!(streamed.chunk().await, None);
+    });
+}
--- a/crates/quillpulley/tests/proxy/limits.rs
+++ b/crates/quillpulley/tests/proxy/limits.rs
@@ -118,3 +118,70 @@
         assert_eq!(waiting.answer().await.text(), "second");
     });
 }
+
+#[test]
+fn one_that_waits_for_a_place_and_leaves_reaches_no_server() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let proxy = Proxy::start(&configuration(1, &[&route("a", "idempotent", "")]), &[]).await;
+        proxy.agent.publish_server(&quillpulley_wire::Server { slots: 4, ..one.entry() });
+        let mut served = Vec::new();
+        loop {
+            let mut client = proxy.client().await;
+            client.send(&request("GET /a/b", &format!("id-{}", served.len()), "", "")).await;
+            tokio::select! {
+                call = one.call() => served.push((client, call)),
+                _ = client.answer() => if !served.is_empty() { break },
+            }
+        }
+        let mut waiting = proxy.client().await;
+        waiting.send(&request("GET /a/b", "id-waits", "", "")).await;
+        // Its copy is refused because it is open.
+        let copy = proxy.client().await.ask(&request("GET /a/b", "id-waits", "", "")).await;
+        assert_eq!(copy.status(), 503);
+        drop(waiting);
+        for (mut client, call) in served {
+            call.serve("ok").await;
+            assert_eq!(client.answer().await.status(), 200);
+        }
+        let mut last = proxy.client().await;
+        last.send(&request("GET /a/b", "id-last", "", "")).await;
+        let call = one.call().await;
+        assert_eq!(call.id(), "id-last");
+        call.serve("ok").await;
+        assert_eq!(last.answer().await.status(), 200);
+        assert!(!one.has_call());
+    });
+}
+
+#[test]
+fn one_that_leaves_while_its_body_comes_reaches_no_server() {
+    run(async {
+        let (proxy, mut one) = start().await;
+        let mut leaving = proxy.client().await;
+        leaving.send(&request("POST /a/b", "id-leaves", "Content-Length: 10\r\n", "")).await;
+        leaving.send("half").await;
+        drop(leaving);
+        let mut last = proxy.client().await;
+        last.send(&request("GET /a/b", "id-last", "", "")).await;
+        let call = one.call().await;
+        assert_eq!(call.id(), "id-last");
+        call.serve("ok").await;
+        assert_eq!(last.answer().await.status(), 200);
+        assert!(!one.has_call());
+    });
+}
+
+#[test]
+fn a_body_that_does_not_end_is_answered_when_the_time_of_its_route_is_over() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let short = route("a", "non_idempotent", "\"TimeoutMs\":200");
+        let proxy = Proxy::start(&configuration(1, &[&short]), &[&one]).await;
+        let mut client = proxy.client().await;
+        client.send(&request("POST /a/b", "id-1", "Content-Length: 10\r\n", "")).await;
+        client.send("half").await;
+        assert_eq!(client.answer().await.status(), 408);
+        assert!(!one.has_call());
+    });
+}
