End a stream that its client does not read when its time is over

Cause: the time of a stream is looked at when the next piece is asked for, and none is asked for while the client's connection has no room. So a client that stopped reading held its server beyond TimeoutMs without end.

Change: a task beside each open stream closes the client's connection 0.2 s after the stream is due; it ends with the stream. Connection::cut of the link closes a connection in the middle of an answer.

--- a/crates/link/src/connections.rs
+++ b/crates/link/src/connections.rs
@@ -82,6 +82,8 @@
     closing: Cell<bool>,
     /// It closes without another answer.
     aborted: Cell<bool>,
+    /// It closes at once, whatever is open on it.
+    cut: Cell<bool>,
     /// Asks it to close once no request is open on it.
     close: Notify,
 }
@@ -96,6 +98,7 @@
             begun: Cell::new(None),
             closing: Cell::new(false),
             aborted: Cell::new(false),
+            cut: Cell::new(false),
             close: Notify::new(),
         }
     }
@@ -132,6 +135,13 @@
         begun.elapsed() > head_time
     }
 
+    /// Closes it at once, also in the middle of an answer, which then does not look complete. To be called where
+    /// an answer that its client does not read has to end.
+    pub fn cut(&self) {
+        self.cut.set(true);
+        self.close.notify_one();
+    }
+
     fn abort(&self) {
         self.aborted.set(true);
         self.close.notify_one();
@@ -291,6 +301,9 @@
                     Err(e) => e.is_parse(),
                 },
                 () = state.close.notified() => {
+                    if state.cut.get() {
+                        return false;
+                    }
                     if state.busy.get() {
                         state.closing.set(true);
                         connection.as_mut().graceful_shutdown();
--- a/crates/quillpulley/src/proxy/front.rs
+++ b/crates/quillpulley/src/proxy/front.rs
@@ -11,14 +11,14 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
-use quillpulley_link::{Connection, Service, Socket};
+use quillpulley_link::{Connection, Service};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// When a client may come again where the memory for bodies is taken, or its request is open already.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -26,6 +26,8 @@
 const LEAVING_RETRY_AFTER: Duration = Duration::ZERO;
 /// When it may come again where no route is known for it, and none of late is known either.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// A stream that goes on for so long after its time is over is not read.
+const UNREAD_MARGIN: Duration = Duration::from_millis(200);
 /// So much of what comes in is recorded: enough to tell that a request has begun.
 pub const RECORDED: usize = 1;
 
@@ -47,7 +49,12 @@
         Rc::new(FrontService { plane })
     }
 
-    async fn answer(&self, request: Request<Incoming>, socket: &Socket) -> Result<Reply, OwnAnswer> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        connection: &Rc<Connection>,
+    ) -> Result<Reply, OwnAnswer> {
+        let socket = connection.socket();
         let taken = self.take(request).await?;
         let mut left = pin!(socket.peer_left());
         // One that left while its connection waited to be accepted is not sent on at all.
@@ -56,7 +63,7 @@
         }
         tokio::select! {
             biased;
-            reply = self.forward(taken) => reply,
+            reply = self.forward(taken, connection) => reply,
             () = left => Err(client_left()),
         }
     }
@@ -101,12 +108,14 @@
         }
     }
 
-    async fn forward(&self, taken: Taken) -> Result<Reply, OwnAnswer> {
-        let Taken { job, open, held } = taken;
+    async fn forward(&self, taken: Taken, connection: &Rc<Connection>) -> Result<Reply, OwnAnswer> {
+        let Taken { job, mut open, held } = taken;
+        let due = job.request.due;
         let mut forwarding = Box::new(Forwarding::new(self.plane.clone(), job));
         match forwarding.forward().await {
             Ok(Answer::Whole(head, body)) => Ok(reply::from_server(head, ReplyBody::Whole(Some(body)))),
             Ok(Answer::Stream(answer)) => {
+                open.guard(cut_unread(connection.clone(), due));
                 let (head, stream) = EventStream::new(forwarding, *answer, (open, held));
                 Ok(reply::from_server(head, ReplyBody::Stream(Box::new(stream))))
             }
@@ -127,7 +136,7 @@
     ) -> Reply {
         let socket = connection.socket();
         socket.record(0);
-        let answer = self.answer(request, socket).await;
+        let answer = self.answer(request, &connection).await;
         let mut reply = answer.unwrap_or_else(|own| reply::own(&own));
         if self.plane.is_leaving() {
             reply::close(&mut reply);
@@ -141,6 +150,13 @@
     }
 }
 
+/// A stream ends itself when its time is over, but only while its client reads: the next piece is not asked for
+/// before there is room for it. Then its connection is closed.
+async fn cut_unread(connection: Rc<Connection>, due: Instant) {
+    sleep_until(due + UNREAD_MARGIN).await;
+    connection.cut();
+}
+
 /// Nobody reads it.
 fn client_left() -> OwnAnswer {
     OwnAnswer::closing(StatusCode::BAD_GATEWAY)
--- a/crates/quillpulley/src/proxy/plane.rs
+++ b/crates/quillpulley/src/proxy/plane.rs
@@ -14,9 +14,11 @@
 use quillpulley_wire::{FrontState, Server, ServerState};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashSet};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::Instant;
 
 /// The published state is looked at several times within this time; if it was fresh at none of these, it is stale.
@@ -232,7 +234,7 @@
     /// Opens a request, unless one with its id is open.
     pub fn open(self: &Rc<Self>, id: &HeaderValue) -> Option<OpenRequest> {
         let new = self.open_ids.borrow_mut().insert(id.clone());
-        new.then(|| OpenRequest { plane: self.clone(), id: id.clone() })
+        new.then(|| OpenRequest { plane: self.clone(), id: id.clone(), guard: None })
     }
 
     /// The proxies that share the servers.
@@ -281,10 +283,19 @@
 pub struct OpenRequest {
     plane: Rc<Plane>,
     id: HeaderValue,
+    guard: Option<AbortHandle>,
+}
+
+impl OpenRequest {
+    /// Runs this for as long as the request is open.
+    pub fn guard(&mut self, task: impl Future<Output = ()> + 'static) {
+        self.guard = Some(spawn_local(task).abort_handle());
+    }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.plane.open_ids.borrow_mut().remove(&self.id);
+        self.guard.iter().for_each(AbortHandle::abort);
     }
 }
--- a/crates/quillpulley/tests/proxy/streams.rs
+++ b/crates/quillpulley/tests/proxy/streams.rs
@@ -168,3 +168,17 @@
         }
     });
 }
+
+#[test]
+fn a_stream_that_its_client_does_not_read_ends_when_its_time_is_over() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let routes = [route("s", "streaming", "\"TimeoutMs\":1000")];
+        let proxy = Proxy::start(&configuration(1, &[&routes[0]]), &[&one]).await;
+        let _client = asked(&proxy, "/s/x", "").await;
+        let mut call = one.call().await;
+        call.begin_stream().await;
+        // Until all buffers on the way are full, and the connection is closed.
+        call.write_until_closed(&format!("id: 1\ndata: {}\n\n", "x".repeat(60_000))).await;
+    });
+}
--- a/crates/quillpulley/tests/proxy/support/server.rs
+++ b/crates/quillpulley/tests/proxy/support/server.rs
@@ -137,6 +137,12 @@
         self.write(&format!("{:x}\r\n{text}\r\n", text.len())).await;
     }
 
+    /// Sends this chunk again and again until the other side has closed.
+    pub async fn write_until_closed(mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        while self.connection.writer.write_all(chunk.as_bytes()).await.is_ok() {}
+    }
+
     pub async fn end_stream(mut self) {
         self.write("0\r\n\r\n").await;
         let _ = self.give_back.send(self.connection);
