Play faults of servers' connections at every point; take bare answers that end properly

Cause, each found by reading and shown by a test that fails without the change: - An answer with no length was thrown away as garbled. It may be whole: the proper end of its connection is its own, and a reset cuts it. `Socket::abort` shut a connection down so that its reader saw a proper end: what is read after it is now an error. - A status 101 that nobody asked for was passed on to the client as the server's failure. - A server that answers before it has read a long body left its connection among the kept ones with the rest of that body unwritten until the next use. Such a connection is closed instead. - A server that has forgotten one idle connection has most likely forgotten the others: after a reset on a kept connection the others to that server are closed, so that the next request does not meet the same. - `Connection: Quillpulley-Model-Name` took that header out.

--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -95,9 +95,15 @@
     }
 
     /// Whether requests may go out on it, from now on or once it has rested. What came behind the last answer
-    /// is no answer to anything: with it the link is of no further use.
+    /// is no answer to anything: with it the link is of no further use. Nor is it while the rest of the last
+    /// request waits to be written: its server answered early, and may read the rest when it likes or never.
     pub fn usable(&self) -> bool {
-        !self.ended && self.sender.is_ready() && self.socket.quiet()
+        !self.ended && !self.is_writing() && self.sender.is_ready() && self.socket.quiet()
+    }
+
+    /// Whether a part of the last request waits to be written.
+    pub fn is_writing(&self) -> bool {
+        self.socket.written() == Written::Part
     }
 
     pub fn rested(&self) -> bool {
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -38,6 +38,8 @@
     /// The first bytes that came since [`Socket::record`], so many at most.
     recorded: RefCell<Vec<u8>>,
     record_most: Cell<usize>,
+    /// This side has ended the connection at once.
+    aborted: Cell<bool>,
 }
 
 impl Socket {
@@ -52,6 +54,7 @@
             answering: Cell::new(false),
             recorded: RefCell::default(),
             record_most: Cell::new(0),
+            aborted: Cell::new(false),
         })
     }
 
@@ -80,8 +83,10 @@
     }
 
     /// Ends the connection at once, also while its owner is still to be dropped: a server must never see the
-    /// next attempt of a request while this one still looks open.
+    /// next attempt of a request while this one still looks open. What is read later fails: the end of what was
+    /// sent until then must not pass for the end that the peer meant.
     pub fn abort(&self) {
+        self.aborted.set(true);
         let _ = SockRef::from(self.stream()).shutdown(Shutdown::Both);
     }
 
@@ -158,8 +163,11 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut *self.0.reader.borrow_mut()).poll_read(cx, buf))?;
-        self.0.answering.set(true);
         let data = &buf.filled()[before..];
+        if data.is_empty() && self.0.aborted.get() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        self.0.answering.set(true);
         let mut recorded = self.0.recorded.borrow_mut();
         let room = self.0.record_most.get().saturating_sub(recorded.len());
         recorded.extend_from_slice(&data[..data.len().min(room)]);
--- a/crates/quillpulley/src/proxy/answer.rs
+++ b/crates/quillpulley/src/proxy/answer.rs
@@ -40,6 +40,8 @@
     }
     let declined = head.headers.contains_key(NOT_EXECUTED);
     match head.status {
+        // Those that may come before an answer are passed over; another is none that was asked for.
+        status if status.is_informational() => Verdict::Invalid,
         StatusCode::MISDIRECTED_REQUEST => Verdict::Misdirected,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if declined => {
             Verdict::Declined { full: true }
@@ -61,8 +63,9 @@
     plain && headers.contains_key(RESPONSE_SEAL)
 }
 
-/// Whether the end of the body can be told from the end of the connection.
-pub fn is_framed(headers: &HeaderMap) -> bool {
+/// Whether the end of the body can be told without the end of the connection. Where not, the connection's proper end
+/// is that of the body, and a reset cuts it.
+fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
--- a/crates/quillpulley/src/proxy/attempts.rs
+++ b/crates/quillpulley/src/proxy/attempts.rs
@@ -14,6 +14,8 @@
     pub repeatable: bool,
     /// The most servers that it may be sent to.
     pub max_attempts: u32,
+    /// A fault for tests: what may have run is sent again after its connection broke, whatever it is.
+    pub repeats_after_reset: bool,
 }
 
 /// Where a request stands.
@@ -164,7 +166,7 @@
     }
 
     fn again(&mut self, event: Event) -> Step {
-        let harmless = self.rules.repeatable || !self.may_have_run;
+        let harmless = self.rules.repeatable || self.rules.repeats_after_reset || !self.may_have_run;
         let left = self.attempts < self.rules.max_attempts && self.sends < MAX_SENDS;
         if !(harmless && left) {
             return self.end(event);
--- a/crates/quillpulley/src/proxy/headers.rs
+++ b/crates/quillpulley/src/proxy/headers.rs
@@ -15,6 +15,8 @@
 pub const INSTANCE_ID: HeaderName = HeaderName::from_static("quillpulley-instance-id");
 pub const WARMUP_REMAINING_MS: HeaderName = HeaderName::from_static("quillpulley-warmup-remaining-ms");
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// How the names of the protocol's own headers begin.
+const OF_PROTOCOL: &str = "quillpulley-";
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// Those that concern only one connection, or the way a body is carried on it.
@@ -51,8 +53,10 @@
         && tokens_of_connection(headers).any(|token| token.eq_ignore_ascii_case("close"))
 }
 
+/// The headers of the protocol are for the other end, whatever `Connection` says of them.
 fn named_by_connection(headers: &HeaderMap) -> impl Iterator<Item = HeaderName> + '_ {
-    tokens_of_connection(headers).filter_map(|name| name.parse().ok())
+    let names = tokens_of_connection(headers).filter_map(|name| name.parse().ok());
+    names.filter(|name: &HeaderName| !name.as_str().starts_with(OF_PROTOCOL) && *name != LAST_EVENT_ID)
 }
 
 fn tokens_of_connection(headers: &HeaderMap) -> impl Iterator<Item = &str> {
--- a/crates/quillpulley/src/proxy/mod.rs
+++ b/crates/quillpulley/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod departure;
 pub mod events;
 mod exchange;
+mod faults;
 mod feed_client;
 mod forward;
 mod front;
@@ -28,7 +29,8 @@
 mod server;
 mod stream;
 
-pub use server::{serve, Listeners};
+pub use faults::Faults;
+pub use server::{serve, serve_with_faults, Listeners};
 
 use crate::{runtime, signals, HostError, Settings};
 
--- a/crates/quillpulley/src/proxy/plane.rs
+++ b/crates/quillpulley/src/proxy/plane.rs
@@ -2,6 +2,7 @@
 
 use super::admission::Admission;
 use super::departure::Departure;
+use super::faults::Faults;
 use super::health::Failures;
 use super::lifecycle::{self, Lifecycle};
 use super::memory::BodyBudget;
@@ -38,6 +39,8 @@
     pub bodies: BodyBudget,
     /// Requests that wait for a place at a server.
     pub admission: Admission,
+    /// Faults for tests.
+    pub faults: Faults,
 }
 
 /// What all requests share.
@@ -57,12 +60,13 @@
     last_call: Notify,
     fresh_at: Cell<Option<Duration>>,
     home_demand: RefCell<HomeDemand>,
+    faults: Faults,
 }
 
 impl Plane {
     /// Nothing is known yet.
     pub fn new(parts: Parts) -> Rc<Self> {
-        let Parts { region, balancer, budgets, pool, bodies, admission } = parts;
+        let Parts { region, balancer, budgets, pool, bodies, admission, faults } = parts;
         Rc::new(Plane {
             started: Instant::now(),
             balancer: RefCell::new(balancer),
@@ -79,6 +83,7 @@
             last_call: Notify::new(),
             fresh_at: Cell::default(),
             home_demand: RefCell::new(HomeDemand::new(region)),
+            faults,
         })
     }
 
@@ -142,6 +147,11 @@
         &self.failures
     }
 
+    /// Faults for tests.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
     /// The retry budgets.
     pub fn budgets(&self) -> &RefCell<RetryBudgets> {
         &self.budgets
--- a/crates/quillpulley/src/proxy/pool.rs
+++ b/crates/quillpulley/src/proxy/pool.rs
@@ -115,11 +115,12 @@
         Ok(Connected { link, reused: false })
     }
 
-    /// Keeps a connection whose answer is over, if the server keeps it open for so long while it is idle.
+    /// Keeps a connection whose answer is over, if the server keeps it open for so long while it is idle, and has
+    /// taken the whole request: the rest of one that it answered early is not written behind its back.
     /// `most` is how many to keep to this server.
     pub fn keep(&self, server: ServerKey, link: Link, keep_alive: Duration, most: usize) {
         let idle = keep_alive / IDLE_DIVISOR;
-        if idle.is_zero() {
+        if idle.is_zero() || link.is_writing() {
             return;
         }
         let now = Instant::now();
--- a/crates/quillpulley/src/proxy/server.rs
+++ b/crates/quillpulley/src/proxy/server.rs
@@ -2,6 +2,7 @@
 
 use super::admission::Admission;
 use super::departure::Departure;
+use super::faults::Faults;
 use super::feed_client::FeedClient;
 use super::front::{FrontService, RECORDED};
 use super::health::check_servers;
@@ -61,8 +62,18 @@
 }
 
 /// Serves until it is told to stop and has done so. Must be called on a tokio `LocalSet`.
-pub async fn serve(settings: Settings, listeners: Listeners, mut commands: UnboundedReceiver<Command>) {
-    let proxy = Proxy::start(&settings, listeners);
+pub async fn serve(settings: Settings, listeners: Listeners, commands: UnboundedReceiver<Command>) {
+    serve_with_faults(settings, listeners, commands, Faults::default()).await;
+}
+
+/// The same with deliberate faults, for tests.
+pub async fn serve_with_faults(
+    settings: Settings,
+    listeners: Listeners,
+    mut commands: UnboundedReceiver<Command>,
+    faults: Faults,
+) {
+    let proxy = Proxy::start(&settings, listeners, faults);
     while let Some(command) = commands.recv().await {
         match command {
             Command::Reload => reload(),
@@ -89,7 +100,7 @@
 }
 
 impl Proxy {
-    fn start(settings: &Settings, listeners: Listeners) -> Proxy {
+    fn start(settings: &Settings, listeners: Listeners, faults: Faults) -> Proxy {
         let descriptors = (settings.limits.max_descriptors as usize).saturating_sub(RESERVED_FILES);
         let descriptors = descriptors.saturating_sub(RESERVED_SOCKETS);
         let for_clients = (descriptors as f64 * CLIENTS_SHARE) as usize;
@@ -103,6 +114,7 @@
             pool: Pool::new((descriptors - for_clients).max(1)),
             bodies,
             admission: Admission::new(waiting),
+            faults,
         });
         let clients = Connections::new(client_options(for_clients.max(1), &Limits::default()));
         let front_address = listeners.front.local_addr().ok().or(settings.listen.front);
--- a/crates/quillpulley/tests/proxy/main.rs
+++ b/crates/quillpulley/tests/proxy/main.rs
@@ -6,4 +6,7 @@
 mod limits;
 mod repeats;
 mod routing;
+mod sends;
 mod streams;
+mod tables;
+mod timelines;
--- /dev/null
+++ b/crates/quillpulley/tests/proxy/sends.rs
@@ -0,0 +1,152 @@
+//! What servers get of a request, on its first send and on those after it.
+
+use crate::support::client::request;
+use crate::support::script::ScriptedServers;
+use crate::support::{configuration, route, run, Call, Client, FakeServer, Message, Proxy};
+use quillpulley::proxy::Faults;
+use std::time::{Duration, Instant};
+
+/// So long must pass between two sends for the second one's deadline to be seen to be shorter.
+const PAUSE: Duration = Duration::from_millis(20);
+const CLIENTS_DEADLINE: u64 = 3000;
+const ROUTES_TIMEOUT: u64 = 5000;
+
+/// A proxy between two servers and a client, with a route of each kind that may be sent again.
+async fn start() -> (Proxy, FakeServer, FakeServer, Client) {
+    let mut one = FakeServer::start("i-1", "one").await;
+    let mut two = FakeServer::start("i-2", "one").await;
+    let routes = [
+        route("once", "non_idempotent", "\"MaxAttempts\":2"),
+        route("again", "idempotent", "\"MaxAttempts\":2"),
+        route("resume", "streaming", "\"MaxAttempts\":2,\"Resumable\":true"),
+    ];
+    let routes: Vec<&str> = routes.iter().map(String::as_str).collect();
+    let proxy = Proxy::start(&configuration(1, &routes), &[&one, &two]).await;
+    let mut client = proxy.client().await;
+    // The budget of a service has no rate before its first request.
+    client.send(&request("POST /once/x", "first", "", "work")).await;
+    next_call(&mut one, &mut two).await.serve("done").await;
+    client.answer().await;
+    proxy.agent.until_counted("one").await;
+    (proxy, one, two, client)
+}
+
+async fn next_call(one: &mut FakeServer, two: &mut FakeServer) -> Call {
+    tokio::select! {
+        call = one.call() => call,
+        call = two.call() => call,
+    }
+}
+
+/// Lets some time go by, while other requests are answered.
+async fn pause(proxy: &Proxy) {
+    let mut client = proxy.client().await;
+    let begun = Instant::now();
+    while begun.elapsed() < PAUSE {
+        client.ask(&request("GET /nothing/", "id-pause", "", "")).await;
+    }
+}
+
+/// Has the first send of a request fail after a while, in the way of its kind. Gives what both servers got.
+async fn two_sends(path: &str, headers: &str) -> [Message; 2] {
+    let (proxy, mut one, mut two, mut client) = start().await;
+    client.send(&request(&format!("POST {path}"), "id-1", headers, "work")).await;
+    let mut call = next_call(&mut one, &mut two).await;
+    let first = call.request.clone();
+    pause(&proxy).await;
+    match path {
+        "/once/x" => call.answer("503 Full", "Quillpulley-Not-Executed: full\r\n", "").await,
+        "/again/x" => call.reset(),
+        _ => {
+            call.begin_stream().await;
+            call.chunk("id: 1\ndata: a\n\n").await;
+            client.head().await;
+            client.chunk().await;
+            call.reset();
+        }
+    }
+    let second = next_call(&mut one, &mut two).await.request;
+    [first, second]
+}
+
+fn deadline(sent: &Message) -> u64 {
+    let values = sent.all("quillpulley-deadline-ms");
+    assert_eq!(values.len(), 1, "{values:?}");
+    values[0].parse().expect("a whole number")
+}
+
+#[test]
+fn every_send_has_the_time_that_is_left() {
+    run(async {
+        let clients = format!("Quillpulley-Deadline-Ms: {CLIENTS_DEADLINE}\r\n");
+        let twice = format!("{clients}{clients}");
+        for path in ["/once/x", "/again/x", "/resume/x"] {
+            for (headers, most) in [
+                (clients.as_str(), CLIENTS_DEADLINE),
+                ("", ROUTES_TIMEOUT),
+                ("Quillpulley-Deadline-Ms: 60000\r\n", ROUTES_TIMEOUT),
+                ("Quillpulley-Deadline-Ms: soon\r\n", ROUTES_TIMEOUT),
+                (twice.as_str(), ROUTES_TIMEOUT),
+            ] {
+                let [first, second] = two_sends(path, headers).await.map(|sent| deadline(&sent));
+                assert!(first <= most, "{path} {headers}: {first}");
+                let passed = PAUSE.as_millis() as u64;
+                assert!(second + passed <= first + 1, "{path} {headers}: {first}, then {second}");
+            }
+        }
+    });
+}
+
+#[test]
+fn what_the_request_says_of_the_model_goes_on_as_it_came() {
+    run(async {
+        let headers = "QUILLPULLEY-Model-name:   My Model; v=\"1\"\t \r\n\
+                       quillpulley-token-count: 1460 , 80\r\n\
+                       Quillpulley-Token-Count: many\r\n\
+                       Quillpulley-Prompt-Prefix: 5C1E07A2:800,, 91bd3f06:0410 ,no:number\r\n\
+                       Connection: Quillpulley-Model-Name, Quillpulley-Request-Id, Last-Event-Id, X-Hop\r\n\
+                       X-Hop: 1\r\n\
+                       Last-Event-Id: 0\r\n";
+        for path in ["/once/x", "/again/x", "/resume/x"] {
+            for sent in two_sends(path, headers).await {
+                assert_eq!(sent.all("quillpulley-model-name"), ["My Model; v=\"1\""]);
+                assert_eq!(sent.all("quillpulley-token-count"), ["1460 , 80", "many"]);
+                let prefix = "5C1E07A2:800,, 91bd3f06:0410 ,no:number";
+                assert_eq!(sent.all("quillpulley-prompt-prefix"), [prefix]);
+                assert_eq!(sent.all("quillpulley-request-id"), ["id-1"]);
+                assert_eq!(sent.all("last-event-id").len(), 1);
+                assert_eq!(sent.header("x-hop"), None);
+                assert_eq!(sent.text(), "work");
+            }
+        }
+    });
+}
+
+#[test]
+fn a_server_that_forgot_one_idle_connection_gets_no_more_on_the_others() {
+    run(async {
+        let forgotten = "request ok until:both forget".to_string();
+        let scripts = ["request last".to_string(), forgotten.clone(), forgotten, "request ok".to_string()];
+        let servers = ScriptedServers::start(scripts).await;
+        let seen = servers.seen.clone();
+        let routes = route("once", "non_idempotent", "");
+        let only = &servers.entries[..1];
+        let proxy =
+            Proxy::start_with_faults("", &configuration(1, &[&routes]), only, Faults::default()).await;
+        let mut clients = [proxy.client().await, proxy.client().await];
+        let once = |id: &str| request("POST /once/x", id, "", "wwww");
+        assert_eq!(clients[0].ask(&once("id-0")).await.status(), 200);
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&once(&format!("id-1{number}"))).await;
+        }
+        for client in &mut clients {
+            assert_eq!(client.answer().await.status(), 200);
+        }
+        seen.received("both");
+        pause(&proxy).await;
+        // Nobody can say that the request was not read.
+        assert_eq!(clients[0].ask(&once("id-2")).await.status(), 502);
+        assert_eq!(clients[0].ask(&once("id-3")).await.status(), 200);
+        assert_eq!(seen.faults(), Vec::<String>::new());
+    });
+}
--- a/crates/quillpulley/tests/proxy/support/client.rs
+++ b/crates/quillpulley/tests/proxy/support/client.rs
@@ -33,6 +33,25 @@
         Message::read_head(&mut self.reader).await.expect("a head")
     }
 
+    /// The head of the next answer, or none where the connection ends first.
+    pub async fn try_head(&mut self) -> Option<Message> {
+        Message::read_head(&mut self.reader).await
+    }
+
+    /// The body of an answer whose head says how long it is.
+    pub async fn body(&mut self, head: &Message) -> Vec<u8> {
+        let length = head.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        self.reader.read_exact(&mut body).await.expect("a whole body");
+        body
+    }
+
+    /// The next chunk of an answer, `Some(None)` at its proper end, and none where it breaks off.
+    pub async fn try_chunk(&mut self) -> Option<Option<String>> {
+        let chunk = read_chunk(&mut self.reader).await?;
+        Some(chunk.map(|chunk| String::from_utf8_lossy(&chunk).into_owned()))
+    }
+
     /// The next chunk of an answer, or none at its proper end. Panics where it breaks off.
     pub async fn chunk(&mut self) -> Option<String> {
         let chunk = read_chunk(&mut self.reader).await.expect("a chunk or the end");
--- a/crates/quillpulley/tests/proxy/support/message.rs
+++ b/crates/quillpulley/tests/proxy/support/message.rs
@@ -16,6 +16,11 @@
         self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
     }
 
+    /// All values of a header, in their order.
+    pub fn all(&self, name: &str) -> Vec<&str> {
+        self.headers.iter().filter(|(n, _)| n == name).map(|(_, value)| value.as_str()).collect()
+    }
+
     pub fn status(&self) -> u16 {
         self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
     }
--- /dev/null
+++ b/crates/quillpulley/tests/proxy/timelines.rs
@@ -0,0 +1,324 @@
+//! What clients get, and how often requests run, when connections to servers fail at every point.
+
+use crate::support::client::request;
+use crate::support::message::Message;
+use crate::support::script::{ScriptedServers, Seen};
+use crate::support::{configuration, route, run, Client, Proxy};
+use crate::tables::{EARLY, KEPT, PLAIN, STREAMS};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use quillpulley::proxy::Faults;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::{spawn_local, JoinHandle};
+
+/// Longer than the kernel's buffers hold of a connection that nobody reads.
+const LONG_BODY: usize = 8 * 1024 * 1024;
+/// Longer than connections to servers rest.
+const REST: Duration = Duration::from_millis(15);
+
+/// A line of a table.
+#[derive(Clone, Debug)]
+struct Case {
+    client: String,
+    scripts: Vec<String>,
+}
+
+impl Case {
+    fn parse(line: &str) -> Case {
+        let (client, scripts) = line.split_once('|').expect("client | servers");
+        let scripts = scripts.split(';').map(|script| script.trim().to_string()).collect();
+        Case { client: client.trim().to_string(), scripts }
+    }
+}
+
+fn cases(table: &str) -> Vec<Case> {
+    table.lines().filter(|line| !line.trim().is_empty()).map(Case::parse).collect()
+}
+
+/// Plays a case. Gives what each request got, or what is wrong whatever was expected.
+async fn play(case: Case, faults: Faults) -> Result<Vec<String>, String> {
+    let first = "request last".to_string();
+    let servers = ScriptedServers::start(std::iter::once(first).chain(case.scripts.clone())).await;
+    let seen = servers.seen.clone();
+    // A second request goes to a connection that was kept where there is but one server.
+    let known = if case.client.contains("rest") { &servers.entries[..1] } else { &servers.entries[..] };
+    let proxy = Proxy::start_with_faults("", &served(), known, faults).await;
+    let mut client = proxy.client().await;
+    // The budget of a service has no rate before its first request.
+    ask(&mut client, &seen, "once", "first", "w").await;
+    proxy.agent.until_counted("one").await;
+    let mut results = Vec::new();
+    for (number, step) in case.client.split_whitespace().enumerate() {
+        match step {
+            "rest" => {
+                rest(&mut client).await;
+                continue;
+            }
+            "over" => {
+                seen.until_played().await;
+                continue;
+            }
+            _ => {}
+        }
+        let wanted = step.split('=').next().unwrap_or_default();
+        let (name, long) = wanted.strip_suffix("+long").map_or((wanted, false), |name| (name, true));
+        let body = if long { "w".repeat(LONG_BODY) } else { "wwww".to_string() };
+        let id = format!("id-{number}");
+        let outcome = ask(&mut client, &seen, name, &id, &body).await;
+        check(name, &id, &outcome, &seen)?;
+        results.push(format!("{wanted}={}", outcome.text));
+        if outcome.closed {
+            client = proxy.client().await;
+        }
+    }
+    drop((client, proxy.commands));
+    proxy.ended.abort();
+    let _ = proxy.ended.await;
+    match seen.faults().first() {
+        Some(fault) => Err(fault.clone()),
+        None if seen.unplayed() > 0 => Err(format!("{} scripts were not played", seen.unplayed())),
+        None => Ok(results),
+    }
+}
+
+fn served() -> String {
+    let routes = [
+        route("once", "non_idempotent", "\"MaxAttempts\":2"),
+        route("again", "idempotent", "\"MaxAttempts\":2"),
+        route("brief", "non_idempotent", "\"MaxAttempts\":2,\"TimeoutMs\":300"),
+        route("brief-again", "idempotent", "\"MaxAttempts\":2,\"TimeoutMs\":300"),
+        route("stream", "streaming", "\"MaxAttempts\":2"),
+        route("resume", "streaming", "\"MaxAttempts\":2,\"Resumable\":true"),
+    ];
+    let routes: Vec<&str> = routes.iter().map(String::as_str).collect();
+    configuration(1, &routes).replace("100000", "100000000")
+}
+
+/// What a client got.
+struct Outcome {
+    /// In the words of the tables.
+    text: String,
+    head: Message,
+    /// The connection is of no further use.
+    closed: bool,
+}
+
+async fn ask(client: &mut Client, seen: &Seen, route: &str, id: &str, body: &str) -> Outcome {
+    client.send(&request(&format!("POST /{route}/x"), id, "", body)).await;
+    let Some(mut head) = client.try_head().await else {
+        return Outcome { text: "cut".to_string(), head: Message::default(), closed: true };
+    };
+    seen.received("head");
+    if head.header("transfer-encoding").is_none() {
+        head.body = client.body(&head).await;
+        let text = match (head.status(), head.text() == id) {
+            (200, true) => "ok".to_string(),
+            (200, false) => format!("the answer to {}", head.text()),
+            (status, _) => status.to_string(),
+        };
+        let closed = head.header("connection") == Some("close");
+        return Outcome { text, head, closed };
+    }
+    let mut events: Vec<String> = Vec::new();
+    let mut text = String::new();
+    let closed = loop {
+        match client.try_chunk().await {
+            Some(Some(chunk)) => {
+                text.push_str(&chunk);
+                numbers_of(&text).iter().for_each(|number| seen.received(number));
+            }
+            Some(None) => break false,
+            None => break true,
+        }
+    };
+    events.extend(numbers_of(&text));
+    if closed {
+        events.push("cut".to_string());
+    }
+    Outcome { text: events.join(","), head, closed }
+}
+
+/// The ids of events; what is no whole event is named so.
+fn numbers_of(text: &str) -> Vec<String> {
+    let mut numbers = Vec::new();
+    for event in text.split_inclusive("\n\n") {
+        let number = event.strip_prefix("id: ").and_then(|rest| rest.split('\n').next()).unwrap_or("?");
+        let whole = event == format!("id: {number}\ndata: {number}\n\n");
+        numbers.push(if whole { number.to_string() } else { format!("part of {number}") });
+    }
+    numbers
+}
+
+/// What must hold of every request, whatever happened.
+fn check(route: &str, id: &str, outcome: &Outcome, seen: &Seen) -> Result<(), String> {
+    let runs = seen.runs_of(id);
+    let status = outcome.head.status();
+    let ended = outcome.head.first.is_empty();
+    let may_repeat = matches!(route, "again" | "brief-again" | "resume");
+    if !may_repeat && runs > 1 {
+        return Err(format!("{id} on {route} ran {runs} times"));
+    }
+    if runs > 2 {
+        return Err(format!("{id} on {route} ran on more servers than MaxAttempts"));
+    }
+    if matches!(status, 408 | 421 | 429 | 503) && runs > 0 {
+        return Err(format!("{id} on {route} got {status} although it may have run"));
+    }
+    if outcome.text.starts_with("the answer to") {
+        return Err(format!("{id} on {route} got {}", outcome.text));
+    }
+    let sealed = outcome.head.header("quillpulley-response-seal").is_some();
+    if !ended && sealed != matches!(status, 200 | 500) {
+        return Err(format!("{id} on {route} got {status}, sealed: {sealed}"));
+    }
+    if sealed && outcome.head.header("quillpulley-request-id") != Some(id) {
+        return Err(format!("{id} on {route} got the head of another answer"));
+    }
+    Ok(())
+}
+
+/// Waits until connections to servers have rested.
+async fn rest(client: &mut Client) {
+    let begun = Instant::now();
+    while begun.elapsed() < REST {
+        assert_eq!(client.ask(&request("GET /nothing/", "id-rest", "", "")).await.status(), 404);
+    }
+}
+
+/// Plays all cases at once.
+async fn play_all(cases: Vec<Case>, faults: Faults) -> Vec<(Case, Result<Vec<String>, String>)> {
+    let begin = |case: Case| (case.clone(), spawn_local(play(case, faults)));
+    let playing: Vec<(Case, JoinHandle<_>)> = cases.into_iter().map(begin).collect();
+    let mut played = Vec::new();
+    for (case, playing) in playing {
+        played.push((case, playing.await.expect("the case ends")));
+    }
+    played
+}
+
+fn all_come_out(table: &'static str) {
+    run(async move {
+        for (case, result) in play_all(cases(table), Faults::default()).await {
+            let expected: Vec<&str> =
+                case.client.split_whitespace().filter(|step| step.contains('=')).collect();
+            let result = result.map(|results| results.join(" "));
+            assert_eq!(result, Ok(expected.join(" ")), "{case:?}");
+        }
+    });
+}
+
+#[test]
+fn plain_answers() {
+    all_come_out(PLAIN);
+}
+
+#[test]
+fn kept_connections() {
+    all_come_out(KEPT);
+}
+
+#[test]
+fn early_answers() {
+    all_come_out(EARLY);
+}
+
+#[test]
+fn streams() {
+    all_come_out(STREAMS);
+}
+
+#[test]
+fn a_proxy_that_repeats_after_a_reset_is_caught() {
+    run(async {
+        let faults = Faults { repeat_after_reset: true, ..Faults::default() };
+        let case = Case::parse("once=502 | request reset ; request ok");
+        assert_eq!(play(case, faults).await, Err("id-0 on once ran 2 times".to_string()));
+        let case = Case::parse("once=502 | request reset ; request declined");
+        assert_eq!(play(case, faults).await, Ok(vec!["once=502".to_string()]));
+    });
+}
+
+#[test]
+fn a_proxy_that_takes_another_requests_answer_is_caught() {
+    run(async {
+        let faults = Faults { ignore_answer_ids: true, ..Faults::default() };
+        let case = Case::parse("once=502 | request other");
+        assert_eq!(play(case, faults).await, Err("id-0 on once got the answer to another".to_string()));
+    });
+}
+
+/// Any route, and any two things that servers may do.
+#[derive(Clone, Debug)]
+struct AnyCase(Case);
+
+impl Arbitrary for AnyCase {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let plain = [
+            "ok",
+            "last",
+            "chunked",
+            "bare close",
+            "bare reset",
+            "half-head reset",
+            "half-body reset",
+            "half-body close",
+            "half-chunk reset",
+            "other",
+            "noise close",
+            "switch",
+            "hint reset",
+            "hint ok ok",
+            "failed",
+            "plain-503",
+            "plain-429",
+            "plain-408",
+            "declined",
+            "misdirected",
+            "reset",
+            "close",
+        ];
+        let streams = [
+            "stream event:1 event:2 end",
+            "stream event:1 reset",
+            "stream part:1 reset",
+            "stream reset",
+            "stream event:1 part:2 close",
+            "bare-stream raw:1 close",
+            "bare-stream raw:1 reset",
+            "other",
+            "declined",
+            "misdirected",
+            "reset",
+            "half-head reset",
+            "plain-503",
+            "failed",
+        ];
+        let name = *g.choose(&["once", "again", "stream", "resume"]).expect("some");
+        let answers: &[&str] = if name.starts_with('s') || name == "resume" { &streams } else { &plain };
+        let reading = *g.choose(&["request", "request", "head"]).expect("some");
+        // The last script is played by whatever comes once the others are over.
+        let mut script = |reading: &str| format!("{reading} {}", g.choose(answers).expect("some"));
+        let scripts = vec![script(reading), script("request"), script("request"), "request ok".to_string()];
+        AnyCase(Case { client: format!("{name}=?"), scripts })
+    }
+}
+
+#[test]
+fn whatever_servers_do_what_must_hold_holds() {
+    fn holds(cases: Vec<AnyCase>) -> bool {
+        let cases: Vec<Case> = cases.into_iter().map(|AnyCase(case)| case).collect();
+        let failed = Rc::new(std::cell::Cell::new(false));
+        let seen = failed.clone();
+        run(async move {
+            for (case, result) in play_all(cases, Faults::default()).await {
+                let wrong = result.err().filter(|error| !error.ends_with("scripts were not played"));
+                if let Some(error) = wrong {
+                    eprintln!("{error}: {case:?}");
+                    seen.set(true);
+                }
+            }
+        });
+        !failed.get()
+    }
+    QuickCheck::new().rng(Gen::new(40)).tests(8).quickcheck(holds as fn(Vec<AnyCase>) -> bool);
+}
