--- /dev/null
+++ b/crates/link/tests/link/main.rs
@@ -0,0 +1,4 @@
+//! Outgoing connections against servers that play a timeline.
+
+mod answers;
+mod server;
