Have candidates that give way to each other try again soon

Two candidates whose requests cross can each promise the other's epoch: the one gives up aloud, the other in silence, and both wait for a whole lease although nobody holds one.

--- a/crates/replication/src/voter.rs
+++ b/crates/replication/src/voter.rs
@@ -155,9 +155,13 @@
         if self.leadership.is_some() {
             self.step_down("another node has a higher epoch");
         }
-        self.change = None;
+        let candidacy = self.change.take().filter(ViewChange::is_public);
         self.replicator = None;
         self.postpone_election();
+        if let Some(candidacy) = candidacy {
+            // Others may have deferred to it just now, and would wait for nobody.
+            self.resign(candidacy.epoch);
+        }
     }
 
     /// A primary or candidate gives up, and so the next may try at once.
@@ -167,6 +171,9 @@
         if was_primary && resign.epoch >= self.witness.view().map_or(0, |view| view.epoch) {
             self.primary_heard = None;
             self.election_at = self.now + self.jitter(HANDOVER_JITTER_MS);
+        } else if self.witness.promised_to() == Some(from) && resign.epoch >= self.witness.promised() {
+            // Two candidates may have given way to each other.
+            self.election_at = self.election_at.min(self.now + self.jitter(HANDOVER_JITTER_MS));
         }
     }
 
--- a/crates/replication/tests/replication/scenarios/restarts.rs
+++ b/crates/replication/tests/replication/scenarios/restarts.rs
@@ -159,3 +159,14 @@
         }
     }
 }
+
+/// With the seeds that are listed, two candidates gave way to each other, and both then waited for a whole lease.
+#[test]
+fn two_candidates_that_give_way_to_each_other_try_again_soon() {
+    for seed in (0..200).chain([307, 1983, 2495, 2585, 2776, 3020]) {
+        let mut settled = Settled::new(seed, 1, ["P", "B", "C"]);
+        settled.play("time | P\n 0 | stop");
+        let has_leader = settled.world.run_until(700, |world| world.leader().is_some());
+        assert!(has_leader, "seed {seed}\n{}", settled.world.trace.join("\n"));
+    }
+}
