Check replacements, removals of witnesses, crashes in installs and resends exhaustively

The model had three nodes, a failover and the return of a wiped machine. It now has any number of nodes, machines that are replaced at a new address or are gone for good, processes that die in a write just before or just after it is durable, orders that are sent again, and a rule that allows a lost disk as soon as the newest view has done without the one before, so that a second loss may come right after a repair. It also checks that no node may answer what is in force without what was acknowledged.

a_member_dies_in_any_write_of_an_install kills the member in each of its seven writes, then the primary.

--- a/crates/replication/src/reconfiguration.rs
+++ b/crates/replication/src/reconfiguration.rs
@@ -96,7 +96,10 @@
     fn is_ready(&self, node: NodeId) -> bool {
         let Some(replicator) = &self.replicator else { return false };
         let refuses = self.peers.get(node).is_some_and(|peer| peer.refuses);
-        refuses || replicator.acked_index(node).is_some_and(|index| index >= self.applied.index)
+        let is_counted_early = self.options.faults.count_joiner_early;
+        refuses
+            || is_counted_early
+            || replicator.acked_index(node).is_some_and(|index| index >= self.applied.index)
     }
 
     /// Whether a node of the view has promised an epoch to another, and so takes nothing from this one.
--- a/crates/replication/tests/replication/harness/durability.rs
+++ b/crates/replication/tests/replication/harness/durability.rs
@@ -76,3 +76,27 @@
         Some(format!("{} could be elected without {missing:?}, which would be lost", member.id))
     })
 }
+
+/// The views from which the nodes with these disks may go on, after so many nodes were lost.
+pub fn newest_views<'a>(disks: &[&'a DiskImage], lost: usize) -> Vec<&'a View> {
+    let records = disks.iter().filter_map(|disk| disk.record.as_ref());
+    let views: Vec<&View> = records.filter_map(|record| record.accepted.as_deref()).collect();
+    let knows =
+        |other: &View, view: &View| other.epoch > view.epoch || other.epoch == view.epoch && other.activated;
+    let holders = |view: &View| views.iter().filter(|other| knows(other, view)).count();
+    let is_settled = |view: &&&View| view.activated && holders(view) > view.witnesses.len() / 2 + lost;
+    let settled = views.iter().filter(is_settled).map(|view| view.epoch).max().unwrap_or(0);
+    views.into_iter().filter(|view| view.epoch >= settled).collect()
+}
+
+/// Whether a view names a node as a member or a witness.
+pub fn names(view: &View, node: NodeId) -> bool {
+    let sets = [&view.backups, &view.witnesses, &view.previous_witnesses];
+    view.primary == node || sets.iter().any(|set| set.contains(&node))
+}
+
+/// Whether a view has enough witnesses for the losses to tolerate.
+pub fn is_whole(view: &View, tolerated: usize) -> bool {
+    let fewest = if view.activated { &view.witnesses } else { &view.previous_witnesses };
+    view.epoch > 0 && fewest.len() > 2 * tolerated
+}
--- a/crates/replication/tests/replication/harness/faults.rs
+++ b/crates/replication/tests/replication/harness/faults.rs
@@ -57,6 +57,7 @@
             seen: 0,
             held_orders: 0,
             held_questions: 0,
+            writes: 0,
             zone: number % ZONES,
         });
         number
@@ -107,6 +108,7 @@
         slot.seen = 0;
         slot.held_orders = 0;
         slot.held_questions = 0;
+        slot.writes = 0;
         let life = slot.life;
         self.note(machine, "starts");
         self.check_state(machine);
--- a/crates/replication/tests/replication/harness/inspect.rs
+++ b/crates/replication/tests/replication/harness/inspect.rs
@@ -1,9 +1,10 @@
 //! What can be seen of the world, and the invariants that are checked as it runs.
 
 use quillpulley_replication::{Place, Replica, Role, ViewExposure};
-use quillpulley_wire::{NodeId, View};
+use quillpulley_wire::NodeId;
 use std::time::Duration;
 
+use super::disk::DiskImage;
 use super::durability::{self, Survivor};
 use super::world::{traces, Machine, World};
 
@@ -15,29 +16,15 @@
     /// long as machines take to catch up, and while a view that may be the newest names it.
     pub fn tolerates_loss_of(&self, machine: usize) -> bool {
         let present = self.machines.iter().filter(|machine| !machine.removed);
-        let records = present.filter_map(|machine| machine.disk.record.as_ref());
-        let views: Vec<&View> = records.filter_map(|record| record.accepted.as_deref()).collect();
-        let knows = |other: &View, view: &View| {
-            other.epoch > view.epoch || other.epoch == view.epoch && other.activated
-        };
-        let holders = |view: &View| views.iter().filter(|other| knows(other, view)).count();
-        let is_settled =
-            |view: &&&View| view.activated && holders(view) > view.witnesses.len() / 2 + self.lost.len();
-        let settled = views.iter().filter(is_settled).map(|view| view.epoch).max().unwrap_or(0);
-        let newest: Vec<&View> = views.into_iter().filter(|view| view.epoch >= settled).collect();
-        let names = |view: &View, node: &NodeId| {
-            let sets = [&view.backups, &view.witnesses, &view.previous_witnesses];
-            view.primary == *node || sets.iter().any(|set| set.contains(node))
-        };
+        let disks: Vec<&DiskImage> = present.map(|machine| &machine.disk).collect();
+        let newest = durability::newest_views(&disks, self.lost.len());
         let counts = |(node, at): &&(NodeId, u64)| {
-            self.now < at + CATCH_UP_MS || newest.iter().any(|view| names(view, node))
+            self.now < at + CATCH_UP_MS || newest.iter().any(|view| durability::names(view, *node))
         };
         let lost = self.lost.iter().filter(counts).count() + 1;
-        let is_whole = |view: &&View| {
-            let fewest = if view.activated { &view.witnesses } else { &view.previous_witnesses };
-            view.epoch > 0 && fewest.len() > 2 * self.options.tolerated
-        };
-        !self.machines[machine].removed && lost <= self.options.tolerated && newest.iter().all(is_whole)
+        let tolerated = self.options.tolerated;
+        let are_whole = newest.iter().all(|view| durability::is_whole(view, tolerated));
+        !self.machines[machine].removed && lost <= tolerated && are_whole
     }
 
     /// The machines that are not gone for good.
@@ -151,6 +138,11 @@
         self.machines[machine].replica.as_ref().map_or(0, Replica::applied_index)
     }
 
+    /// How many writes the process of a machine has begun.
+    pub fn write_count(&self, machine: usize) -> u64 {
+        self.machines[machine].writes
+    }
+
     /// How many disks were lost so far.
     pub fn lost_count(&self) -> u64 {
         self.lost.len() as u64
--- a/crates/replication/tests/replication/harness/world.rs
+++ b/crates/replication/tests/replication/harness/world.rs
@@ -87,6 +87,8 @@
     pub(super) held_orders: usize,
     /// Questions that came while the process was frozen.
     pub(super) held_questions: usize,
+    /// How many writes its process has begun.
+    pub(super) writes: u64,
     /// Its zone, of `ZONES`.
     pub zone: usize,
 }
@@ -269,6 +271,7 @@
                 let slot = &mut self.machines[machine];
                 assert!(slot.write.is_none(), "a write before the last one was answered");
                 slot.write = Some((ticket, write));
+                slot.writes += 1;
                 let done = Happening::StoreDone { machine, life: slot.life, ticket };
                 let slowness = if slot.mode == DiskMode::Slow { SLOW_DISK } else { 1 };
                 let delay = (DISK_MS + self.random.u64(0..4)) * slowness;
--- a/crates/replication/tests/replication/model/cluster.rs
+++ b/crates/replication/tests/replication/model/cluster.rs
@@ -1,4 +1,4 @@
-//! Three nodes and what is under way between them.
+//! Some nodes and what is under way between them.
 
 use quillpulley_replication::{Action, Event, Faults, Options, Replica, Role};
 use quillpulley_wire::{Body, NodeId, Position};
@@ -9,10 +9,12 @@
 use std::time::Duration;
 
 use crate::harness::disk::DiskImage;
-use crate::harness::durability::{violation, Survivor};
 use crate::harness::ledger::{Ledger, Order};
 
-pub const NODES: usize = 3;
+/// How many nodes are the first witnesses.
+const SEEDS: usize = 3;
+/// How many machines may lose their disks at once.
+pub(super) const TOLERATED: usize = 1;
 const TICK_MS: u64 = 50;
 /// Long enough for every lease and timer to run out.
 const LEAP_MS: u64 = 1200;
@@ -21,38 +23,58 @@
 
 #[derive(Clone)]
 pub struct Node {
-    id: NodeId,
-    replica: Replica<Ledger>,
-    disk: DiskImage,
+    pub(super) id: NodeId,
+    pub(super) replica: Replica<Ledger>,
+    pub(super) disk: DiskImage,
+    /// What happens to the process at its next write.
+    crash: Option<Crash>,
+    /// It is gone for good.
+    pub(super) gone: bool,
     /// A hash of all that the replica is.
     print: u64,
 }
 
+/// The process dies in a write, which was not yet durable, or just was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Crash {
+    Before,
+    After,
+}
+
 pub type Link = (usize, usize);
 
-/// Three nodes and what is under way between them.
+/// Some nodes and what is under way between them.
 #[derive(Clone)]
 pub struct Cluster {
     pub now: u64,
     pub nodes: Vec<Node>,
     pub links: BTreeMap<Link, VecDeque<(NodeId, Body)>>,
     pub faults: u8,
-    pub next_order: u64,
-    pub wiped: Option<NodeId>,
-    pub acknowledged: Vec<Position>,
+    /// The orders so far: that of number `n` stands at `n - 1`.
+    pub orders: Vec<Order>,
+    /// For each message with an order, the order's number.
+    pub(super) messages: Vec<u64>,
+    /// Nodes whose disks are lost.
+    pub(super) lost: Vec<NodeId>,
+    /// Orders that were acknowledged, and where they are, by index.
+    pub acknowledged: Vec<(Position, u64)>,
+    /// Orders that were refused.
+    pub(super) refused: BTreeSet<u64>,
     /// For each base, the order that was acknowledged on it.
     pub taken_on: BTreeMap<u64, u64>,
     /// The epochs of the views that came into force.
     pub epochs_in_force: BTreeSet<u64>,
     pub faulty: Faults,
+    compact_entries: usize,
     /// An invariant that was broken in a step.
     pub broken: Option<String>,
 }
 
 impl Cluster {
     fn key(&self) -> impl Hash + PartialEq + '_ {
-        let prints: Vec<u64> = self.nodes.iter().map(|node| node.print).collect();
-        (self.now, prints, &self.links, self.faults, &self.acknowledged, &self.broken)
+        let nodes: Vec<_> = self.nodes.iter().map(|node| (node.print, node.crash)).collect();
+        let told = (&self.acknowledged, &self.refused);
+        (self.now, nodes, &self.links, self.faults, &self.messages, told, &self.broken)
     }
 }
 
@@ -88,39 +110,71 @@
     Restart(usize),
     Wipe(usize),
     Propose(usize),
+    /// The latest order is sent again.
+    SendAgain(usize),
+    /// The process dies in its next write and starts again.
+    CrashInWrite(usize, Crash),
 }
 
 impl Cluster {
-    pub fn new(faulty: Faults) -> Self {
-        let ids: Vec<NodeId> = (0..NODES).map(|node| NodeId::new(address(node), 0)).collect();
-        let start = |id: &NodeId| Node::new(*id, DiskImage::default(), 0, Some(ids.clone()), faulty);
-        let nodes = ids.iter().map(start).collect();
+    /// So many nodes that start for the first time. A log is compacted once it has more than `compact_entries`.
+    pub fn new(count: usize, faulty: Faults, compact_entries: usize) -> Self {
+        let ids: Vec<NodeId> = (0..count).map(|node| NodeId::new(address(node), 0)).collect();
         let mut cluster = Cluster {
             now: 0,
-            nodes,
+            nodes: Vec::new(),
             links: BTreeMap::new(),
             faults: 0,
-            next_order: 1,
-            wiped: None,
+            orders: Vec::new(),
+            messages: Vec::new(),
+            lost: Vec::new(),
             acknowledged: Vec::new(),
+            refused: BTreeSet::new(),
             taken_on: BTreeMap::new(),
             epochs_in_force: BTreeSet::new(),
             faulty,
+            compact_entries,
             broken: None,
         };
-        for node in 0..NODES {
+        for id in &ids {
+            let seeds = ids[..SEEDS].to_vec();
+            cluster.nodes.push(cluster.started(*id, DiskImage::default(), Some(seeds)));
+        }
+        for node in 0..count {
             cluster.connect(node);
         }
         cluster
     }
 
-    fn time(&self) -> Duration {
+    fn started(&self, id: NodeId, disk: DiskImage, bootstrap: Option<Vec<NodeId>>) -> Node {
+        let options = Options {
+            me: id,
+            bootstrap,
+            seed: u64::from(id.ip),
+            faults: self.faulty,
+            tolerated_machines: TOLERATED,
+            compact_entries: self.compact_entries,
+            ..Options::default()
+        };
+        let replica =
+            Replica::new(options, disk.recovered(), Ledger::default(), self.time()).expect("a sound disk");
+        let mut node = Node { id, replica, disk, crash: None, gone: false, print: 0 };
+        node.renew_print();
+        node
+    }
+
+    /// The nodes that are not gone for good.
+    pub fn present(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|node| !self.nodes[*node].gone).collect()
+    }
+
+    pub(super) fn time(&self) -> Duration {
         Duration::from_millis(self.now)
     }
 
     /// Connects a node that has started with all others.
     fn connect(&mut self, node: usize) {
-        for other in (0..NODES).filter(|other| *other != node) {
+        for other in self.present().into_iter().filter(|other| *other != node) {
             self.links.remove(&(node, other));
             self.links.remove(&(other, node));
             for (one, two) in [(node, other), (other, node)] {
@@ -137,6 +191,10 @@
             let mut actions = Vec::new();
             self.nodes[node].replica.handle(now, event, &mut actions);
             for action in actions {
+                if matches!(action, Action::Store { .. }) && self.nodes[node].crash.is_some() {
+                    self.crash(node, action);
+                    return;
+                }
                 events.extend(self.act(node, action));
             }
         }
@@ -171,16 +229,12 @@
         }
     }
 
-    fn acknowledge(&mut self, node: usize, order: u64) {
-        let Some(applied) = self.nodes[node].replica.state().find(order).copied() else {
-            self.broken = Some(format!("order {order} is acknowledged and not applied"));
-            return;
-        };
-        let Some(base) = applied.taken_on else { return };
-        if *self.taken_on.entry(base).or_insert(order) != order {
-            self.broken = Some(format!("two orders on {base} are acknowledged"));
+    /// The process dies in a write and starts again.
+    fn crash(&mut self, node: usize, store: Action) {
+        if let (Action::Store { write, .. }, Some(Crash::After)) = (store, self.nodes[node].crash) {
+            self.nodes[node].disk.apply(write);
         }
-        self.acknowledged.push(applied.position);
+        self.restart(node);
     }
 
     pub fn take(&mut self, step: Step) {
@@ -201,12 +255,21 @@
             }
             Step::Wipe(node) => {
                 self.faults += 1;
-                self.wiped = Some(self.nodes[node].id);
+                self.lost.push(self.nodes[node].id);
                 self.nodes[node].id.incarnation += 1;
                 self.nodes[node].disk = DiskImage::default();
                 self.restart(node);
             }
             Step::Propose(node) => self.propose(node),
+            Step::SendAgain(node) => {
+                if let Some(order) = self.orders.last().copied() {
+                    self.send_order(node, order);
+                }
+            }
+            Step::CrashInWrite(node, crash) => {
+                self.faults += 1;
+                self.nodes[node].crash = Some(crash);
+            }
         }
         self.links.retain(|_, link| !link.is_empty());
     }
@@ -222,34 +285,52 @@
 
     fn restart(&mut self, node: usize) {
         let Node { id, disk, .. } = self.nodes[node].clone();
-        self.nodes[node] = Node::new(id, disk, self.now, None, self.faulty);
+        self.nodes[node] = self.started(id, disk, None);
         self.connect(node);
     }
 
+    /// A machine is gone for good, and another comes in its place, at a new address. Returns its number.
+    pub fn replace(&mut self, node: usize) -> usize {
+        self.remove(node);
+        let number = self.nodes.len();
+        let id = NodeId::new(address(number), 1);
+        self.nodes.push(self.started(id, DiskImage::default(), None));
+        self.connect(number);
+        number
+    }
+
+    /// A machine is gone for good.
+    pub fn remove(&mut self, node: usize) {
+        let id = self.nodes[node].id;
+        self.lost.push(id);
+        self.nodes[node].gone = true;
+        self.nodes[node].disk = DiskImage::default();
+        self.links.retain(|link, _| link.0 != node && link.1 != node);
+        for other in self.present() {
+            self.handle(other, Event::Disconnected(id));
+        }
+    }
+
     fn propose(&mut self, node: usize) {
         let base = self.nodes[node].replica.state().version();
-        let order = self.next_order;
-        self.next_order += 1;
-        let payload = Order { number: order, base }.payload(order);
-        self.handle(node, Event::Propose { order, payload });
+        let order = Order { number: self.orders.len() as u64 + 1, base };
+        self.orders.push(order);
+        self.send_order(node, order);
     }
 
-    pub fn leaders(&self) -> Vec<usize> {
-        let leads = |node: &usize| {
-            matches!(self.nodes[*node].replica.role(self.time()), Role::Primary { lease: true, .. })
-        };
-        (0..NODES).filter(leads).collect()
+    fn send_order(&mut self, node: usize, order: Order) {
+        self.messages.push(order.number);
+        let message = self.messages.len() as u64;
+        self.handle(node, Event::Propose { order: message, payload: order.payload(message) });
     }
 
-    pub fn pending(&self) -> Option<Link> {
-        self.links.iter().find(|(_, link)| !link.is_empty()).map(|(link, _)| *link)
+    /// How many messages with orders there were.
+    pub fn message_count(&self) -> usize {
+        self.messages.len()
     }
 
-    /// What may go on without something that was acknowledged.
-    pub fn violation(&self) -> Option<String> {
-        let survivors: Vec<Survivor> =
-            self.nodes.iter().map(|node| Survivor { id: node.id, disk: &node.disk }).collect();
-        self.broken.clone().or_else(|| violation(&survivors, &self.acknowledged, 1))
+    pub fn pending(&self) -> Option<Link> {
+        self.links.iter().find(|(_, link)| !link.is_empty()).map(|(link, _)| *link)
     }
 
     /// Runs without faults, with the machines in `frozen` left alone, until something holds. Returns every state
@@ -267,7 +348,7 @@
                 continue;
             }
             self.now += TICK_MS;
-            for node in (0..NODES).filter(|node| !frozen.contains(node)) {
+            for node in self.present().into_iter().filter(|node| !frozen.contains(node)) {
                 self.take(Step::Tick(node));
             }
             passed.push(self.clone());
@@ -277,22 +358,6 @@
 }
 
 impl Node {
-    pub fn new(
-        id: NodeId,
-        disk: DiskImage,
-        now: u64,
-        bootstrap: Option<Vec<NodeId>>,
-        faults: Faults,
-    ) -> Self {
-        let options = Options { me: id, bootstrap, seed: u64::from(id.ip), faults, ..Options::default() };
-        let start = Duration::from_millis(now);
-        let replica =
-            Replica::new(options, disk.recovered(), Ledger::default(), start).expect("a sound disk");
-        let mut node = Node { id, replica, disk, print: 0 };
-        node.renew_print();
-        node
-    }
-
     fn renew_print(&mut self) {
         let mut print = Print(DefaultHasher::new());
         // A print cannot fail to be written.
@@ -314,13 +379,3 @@
 fn address(node: usize) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, 0, 1 + node as u8)
 }
-
-impl Cluster {
-    /// How many nodes that exist are members of the leader's view.
-    pub fn members(&self) -> usize {
-        let Some(leader) = self.leaders().first().copied() else { return 0 };
-        let Some(view) = self.nodes[leader].replica.view() else { return 0 };
-        let is_member = |node: &&Node| view.primary == node.id || view.backups.contains(&node.id);
-        self.nodes.iter().filter(is_member).count()
-    }
-}
--- /dev/null
+++ b/crates/replication/tests/replication/model/inspect.rs
@@ -0,0 +1,103 @@
+//! What can be seen of the nodes, and what must hold of them.
+
+use quillpulley_replication::Role;
+use quillpulley_wire::{Body, NodeId, Position};
+use std::collections::BTreeSet;
+
+use super::cluster::{Cluster, Node, TOLERATED};
+use crate::harness::disk::DiskImage;
+use crate::harness::durability::{is_whole, names, newest_views, violation, Survivor};
+
+impl Cluster {
+    pub fn leaders(&self) -> Vec<usize> {
+        let leads = |node: &usize| {
+            matches!(self.nodes[*node].replica.role(self.time()), Role::Primary { lease: true, .. })
+        };
+        self.present().into_iter().filter(leads).collect()
+    }
+
+    /// A message with an order is acknowledged: the order was taken, now or before, or else is refused.
+    pub(super) fn acknowledge(&mut self, node: usize, message: u64) {
+        let order = self.messages[message as usize - 1];
+        let state = self.nodes[node].replica.state();
+        if state.find(order).is_none() {
+            self.broken = Some(format!("order {order} is acknowledged and not applied"));
+            return;
+        }
+        let known = self.acknowledged.iter().find(|(_, other)| *other == order).map(|(place, _)| *place);
+        let Some(taken) = state.find_taken(order).copied() else {
+            self.refused.insert(order);
+            if known.is_some() {
+                self.broken = Some(format!("order {order} was taken, and is refused when it comes again"));
+            }
+            return;
+        };
+        if self.refused.contains(&order) || known.is_some_and(|place| place != taken.position) {
+            self.broken = Some(format!("order {order} takes effect twice, or after it was refused"));
+        }
+        let base = taken.taken_on.unwrap_or_default();
+        if *self.taken_on.entry(base).or_insert(order) != order {
+            self.broken = Some(format!("two orders on {base} are acknowledged"));
+        }
+        if known.is_none() {
+            self.acknowledged.push((taken.position, order));
+            self.acknowledged.sort_unstable_by_key(|(place, _)| place.index);
+        }
+    }
+
+    /// What may go on without something that was acknowledged, or states what is in force without it.
+    pub fn violation(&self) -> Option<String> {
+        let present = self.present();
+        let survivors: Vec<Survivor> = present
+            .iter()
+            .map(|node| Survivor { id: self.nodes[*node].id, disk: &self.nodes[*node].disk })
+            .collect();
+        let positions: Vec<Position> = self.acknowledged.iter().map(|(place, _)| *place).collect();
+        let on_disk = || violation(&survivors, &positions, TOLERATED);
+        self.broken.clone().or_else(on_disk).or_else(|| self.outdated_answer())
+    }
+
+    fn outdated_answer(&self) -> Option<String> {
+        let may_answer = |node: &&Node| !node.gone && node.replica.may_answer(self.time());
+        self.nodes.iter().filter(may_answer).find_map(|node| {
+            let state = node.replica.state();
+            let lacks = |(_, order): &&(Position, u64)| !state.has_taken(*order);
+            let (_, order) = self.acknowledged.iter().find(lacks)?;
+            Some(format!("{} may answer without the acknowledged order {order}", node.id))
+        })
+    }
+
+    /// Whether one more disk may be lost: the views that may be the newest have done without those that are.
+    pub fn tolerates_loss(&self) -> bool {
+        let disks: Vec<&DiskImage> = self.present().iter().map(|node| &self.nodes[*node].disk).collect();
+        let newest = newest_views(&disks, self.lost.len());
+        let is_named = |node: &&NodeId| newest.iter().any(|view| names(view, **node));
+        let lost = self.lost.iter().filter(is_named).count() + 1;
+        lost <= TOLERATED && newest.iter().all(|view| is_whole(view, TOLERATED))
+    }
+
+    /// How many nodes that exist are members of the leader's view.
+    pub fn members(&self) -> usize {
+        let Some(leader) = self.leaders().first().copied() else { return 0 };
+        let Some(view) = self.nodes[leader].replica.view() else { return 0 };
+        let is_member = |node: &&Node| view.primary == node.id || view.backups.contains(&node.id);
+        self.nodes.iter().filter(is_member).count()
+    }
+
+    /// Whether all present nodes, and no others, are members and witnesses of the leader's view, and nothing but
+    /// heartbeats is under way.
+    pub fn is_whole(&self) -> bool {
+        let Some(leader) = self.leaders().first().copied() else { return false };
+        let Some(view) = self.nodes[leader].replica.view() else { return false };
+        let present: BTreeSet<NodeId> = self.present().iter().map(|node| self.nodes[*node].id).collect();
+        let members: BTreeSet<NodeId> = view.backups.iter().copied().chain([view.primary]).collect();
+        let witnesses: BTreeSet<NodeId> = view.witnesses.iter().copied().collect();
+        members == present && witnesses == present && view.activated && !self.is_changing()
+    }
+
+    /// Whether more than heartbeats is under way.
+    pub fn is_changing(&self) -> bool {
+        let is_heartbeat = |body: &Body| matches!(body, Body::LeaseRequest(_) | Body::LeaseGrant(_));
+        self.links.values().flatten().any(|(_, body)| !is_heartbeat(body))
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/replication/scenarios/installs.rs
@@ -0,0 +1,43 @@
+//! A member that gets the whole state and dies in any of the writes that this takes.
+
+use super::Settled;
+
+/// Enough orders that logs have been compacted and the state goes as a snapshot.
+const ORDERS: usize = 30;
+/// So many writes there are until it is a member and a witness again.
+const WRITES: u64 = 7;
+
+/// The member dies in the write, then the primary loses power as well; both come back.
+fn play(seed: u64, write: u64, power: bool) {
+    let mut settled = Settled::new(seed, 1, ["P", "B", "C"]);
+    for _ in 0..ORDERS {
+        let leader = settled.world.leader().expect("a primary");
+        settled.world.propose(leader);
+        settled.world.run_for(60);
+    }
+    settled.play("time | B\n 0 | power wipe\n 100 | start");
+    let member = settled.names[1].1;
+    let is_writing = |world: &crate::harness::World| world.write_count(member) >= write;
+    assert!(settled.world.run_until(5000, is_writing), "there is no write {write}");
+    let end = if power { "power" } else { "kill" };
+    settled.play(&format!(
+        "time | P     | B     | C | *
+            0 |       | {end} |   |
+           10 | power |       |   |
+          200 | start | start |   |
+         3200 |       |       |   | order=1
+         4200 |       |       |   | acked=1
+         8000 | member witness | member witness | member witness |"
+    ));
+    let end = settled.world.applied_index(settled.world.leader().expect("a primary"));
+    assert!((0..3).all(|machine| settled.world.applied_index(machine) >= end));
+}
+
+#[test]
+fn a_member_dies_in_any_write_of_an_install() {
+    for write in 1..=WRITES {
+        for seed in 0..6 {
+            play(seed, write, seed % 2 == 0);
+        }
+    }
+}
--- a/crates/replication/tests/replication/scenarios/mod.rs
+++ b/crates/replication/tests/replication/scenarios/mod.rs
@@ -1,6 +1,7 @@
 //! Troubles one by one, as timelines. Every one is played with several seeds.
 
 mod cut_off;
+mod installs;
 mod leaving;
 mod lost_machines;
 pub mod operators;
