--- a/crates/quillpulley/tests/operators/node.rs
+++ b/crates/quillpulley/tests/operators/node.rs
@@ -2,7 +2,7 @@
 
 use quillpulley::control::orders::{Answer, Order, Orders};
 use quillpulley_configuration::{ControlState, EvacuationDecision, ReplaceDecision};
-use quillpulley_replication::{Action, Event, Options, Recovered, Replica, Write};
+use quillpulley_replication::{Action, Event, Options, Recovered, Replica, Role, Write};
 use quillpulley_wire::{
     decode_value, encode_value, Body, ControlSnapshot, ControlSnapshotRef, Entry, NodeId,
 };
@@ -54,6 +54,8 @@
     pub replica: Replica<ControlState>,
     orders: Orders<CallId>,
     leads: bool,
+    /// Whether it was the primary, with the lease or without, when that was last looked at.
+    was_primary: bool,
     /// The entries that it has taken, by index.
     log: BTreeMap<u64, Entry>,
     /// Orders under way where they overlap.
@@ -72,6 +74,7 @@
             replica: replica.expect("a sound disk"),
             orders: Orders::default(),
             leads: false,
+            was_primary: false,
             log,
             overlapping: BTreeMap::new(),
             outputs: Vec::new(),
@@ -115,7 +118,16 @@
         }
     }
 
+    /// A node that was elected has all that it inherited in its state, before it decides or answers anything.
+    fn check_inherited(&mut self, now: Duration) {
+        let is_primary = matches!(self.replica.role(now), Role::Primary { .. });
+        let was_elected = is_primary && !self.was_primary;
+        assert!(!was_elected || !self.replica.has_open_orders(), "a new primary lacks what it inherited");
+        self.was_primary = is_primary;
+    }
+
     fn update_leadership(&mut self, now: Duration) {
+        self.check_inherited(now);
         let leads = if self.fault == Fault::NoLease {
             self.leads && self.replica.view().is_some_and(|view| view.primary == self.me)
                 || self.holds_lease(now)
