--- a/crates/quillpulley/src/control/orders.rs
+++ b/crates/quillpulley/src/control/orders.rs
@@ -147,7 +147,12 @@
         while self.under_way.is_none() {
             let waiting = self.waiting.pop_front()?;
             match decide(state, &waiting.order) {
-                Decision::Answer(answer) => self.answers.push((waiting.reply, answer)),
+                Decision::Answer(answer) => {
+                    if let Answer::Invalid(why) = &answer {
+                        log::info!("an order ({}) is refused: {why}", waiting.order);
+                    }
+                    self.answers.push((waiting.reply, answer));
+                }
                 Decision::Propose(payload) => return Some(self.start(waiting, payload)),
             }
         }
