--- a/crates/quillpulley/src/control/directory_view.rs
+++ b/crates/quillpulley/src/control/directory_view.rs
@@ -86,7 +86,7 @@
     /// What the directory is to tell at `now`.
     pub fn directory(&mut self, now: Duration, known: &Known<'_>) -> Directory {
         self.fresh = known.fresh;
-        self.reported.update(now, known.subtree);
+        self.reported.update(now, known.subtree, known.fresh);
         let fronts = self.known_fronts(now, known);
         if !fronts.is_empty() {
             let first_known = *self.first_known.get_or_insert(now);
--- a/crates/quillpulley/src/control/reported.rs
+++ b/crates/quillpulley/src/control/reported.rs
@@ -23,12 +23,15 @@
 }
 
 impl ReportedFronts {
-    /// Takes what is reported at `now`, without the fronts that their monitors cannot reach.
-    pub fn update(&mut self, now: Duration, subtree: &Subtree) {
+    /// Takes what is reported at `now`, without the fronts that their monitors cannot reach. While the published
+    /// state is fresh nothing is remembered: the primary knows better.
+    pub fn update(&mut self, now: Duration, subtree: &Subtree, fresh: bool) {
+        let remembered = if fresh { Duration::ZERO } else { REMEMBERED };
+        self.fronts.retain(|_, reported| now < reported.at + remembered);
         for front in subtree.fronts.values() {
             self.fronts.insert(front.name.clone(), Reported { front: front.clone(), at: now });
         }
-        self.fronts.retain(|name, reported| now < reported.at + REMEMBERED && !is_suspected(subtree, name));
+        self.fronts.retain(|name, _| !is_suspected(subtree, name));
     }
 
     /// Those that count.
--- a/crates/quillpulley/tests/control/main.rs
+++ b/crates/quillpulley/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod api;
 mod cluster;
 mod directory;
+mod directory_days;
 mod directory_view;
 mod disk;
 mod fronts;
