Give sends and waiting requests the servers alone, instead of all that a proxy shares

Cause: plane, admission, run and health of the proxy each used one another.

Change: Servers holds what a send needs (choice, connections, memory for bodies, failures) and tells a PlaceListener of places that come free. Run uses Servers; Admission uses Servers and Run, and is that listener; Plane passes calls on to both; health checks use Plane, which no longer knows them. Failures has a module of its own. Behaviour is unchanged.

--- a/crates/quillpulley/src/proxy/admission.rs
+++ b/crates/quillpulley/src/proxy/admission.rs
@@ -2,10 +2,10 @@
 //!
 //! Whoever waits is given a place as soon as there is one, before anybody who comes later asks.
 
-use super::plane::Plane;
 use super::pool::Target;
 use super::request::Job;
 use super::run::Run;
+use super::servers::{PlaceListener, Servers};
 use quillpulley_routing::{Balancer, Choice, ServerKey, Terms, Waiting, WaitingKey, WaitingLimits};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -32,8 +32,9 @@
     granted: oneshot::Sender<Run>,
 }
 
-/// Requests that wait for a place.
+/// Gives places at servers, and holds the requests that wait for one.
 pub struct Admission {
+    servers: Rc<Servers>,
     limits: WaitingLimits,
     services: RefCell<HashMap<String, Waiting<Waiter>>>,
     /// Something waits where nothing did.
@@ -41,9 +42,13 @@
 }
 
 impl Admission {
-    /// None wait; so many may, for each service.
-    pub fn new(limits: WaitingLimits) -> Self {
-        Admission { limits, services: RefCell::default(), begun: Notify::new() }
+    /// None wait for places at these servers; so many may, for each service.
+    pub fn new(servers: Rc<Servers>, limits: WaitingLimits) -> Rc<Self> {
+        let begun = Notify::new();
+        let admission = Rc::new(Admission { servers, limits, services: RefCell::default(), begun });
+        let listener: Rc<dyn PlaceListener> = admission.clone();
+        admission.servers.set_listener(Rc::downgrade(&listener));
+        admission
     }
 
     fn is_idle(&self) -> bool {
@@ -73,26 +78,27 @@
 
 /// A request's place among those that wait, for as long as this lives.
 struct Queued<'a> {
-    plane: &'a Plane,
+    admission: &'a Admission,
     service: &'a str,
     key: WaitingKey,
 }
 
 impl Drop for Queued<'_> {
     fn drop(&mut self) {
-        self.plane.admission().remove(self.service, self.key);
+        self.admission.remove(self.service, self.key);
     }
 }
 
-impl Plane {
+impl PlaceListener for Admission {
+    fn place_came_free(self: Rc<Self>, service: &str) {
+        self.admit(service);
+    }
+}
+
+impl Admission {
     /// A place at a server, other than those that were tried, at once or until then.
-    pub async fn place(
-        self: &Rc<Self>,
-        job: &Rc<Job>,
-        tried: &[ServerKey],
-        until: Instant,
-    ) -> Result<Run, NoPlace> {
-        let choice = self.balancer().borrow_mut().choose(self.now(), &job.demand(), tried);
+    pub async fn place(&self, job: &Rc<Job>, tried: &[ServerKey], until: Instant) -> Result<Run, NoPlace> {
+        let choice = self.servers.balancer().borrow_mut().choose(self.servers.now(), &job.demand(), tried);
         let retry_after = match choice {
             Choice::Send(key) => return self.begin(job.clone(), key).ok_or(NoPlace { retry_after: None }),
             Choice::Full { retry_after } => Some(retry_after),
@@ -100,9 +106,9 @@
         };
         let (granted, place) = oneshot::channel();
         let waiter = Waiter { job: job.clone(), tried: tried.to_vec(), granted };
-        let key = self.admission().push(self.now(), self.terms(job, until), waiter);
+        let key = self.push(self.servers.now(), self.terms(job, until), waiter);
         let key = key.ok_or(NoPlace { retry_after })?;
-        let _queued = Queued { plane: self, service: &job.plan.service, key };
+        let _queued = Queued { admission: self, service: &job.plan.service, key };
         match timeout_at(until, place).await {
             Ok(Ok(run)) => Ok(run),
             Ok(Err(_)) | Err(_) => Err(NoPlace { retry_after }),
@@ -110,11 +116,11 @@
     }
 
     /// Gives places at servers of a service to those who wait.
-    pub fn admit(self: &Rc<Self>, service: &str) {
+    pub fn admit(&self, service: &str) {
         loop {
             let mut chosen = None;
-            let waiter = self.admission().next(self.now(), service, |waiter| {
-                chosen = choose(&mut self.balancer().borrow_mut(), self.now(), waiter);
+            let waiter = self.next(self.servers.now(), service, |waiter| {
+                chosen = choose(&mut self.servers.balancer().borrow_mut(), self.servers.now(), waiter);
                 chosen.is_some()
             });
             let Some((waiter, key)) = waiter.zip(chosen) else { return };
@@ -126,36 +132,36 @@
     }
 
     /// Gives places at all servers to those who wait.
-    pub fn admit_all(self: &Rc<Self>) {
-        let services: Vec<String> = self.admission().services.borrow().keys().cloned().collect();
+    pub fn admit_all(&self) {
+        let services: Vec<String> = self.services.borrow().keys().cloned().collect();
         services.iter().for_each(|service| self.admit(service));
     }
 
     /// Looks again while somebody waits, for as long as it is polled.
-    pub async fn keep_admitting(self: Rc<Self>) {
+    pub async fn keep_admitting(&self) {
         loop {
-            self.admission().begun.notified().await;
-            while !self.admission().is_idle() {
+            self.begun.notified().await;
+            while !self.is_idle() {
                 sleep(LOOK_AGAIN).await;
                 self.admit_all();
             }
         }
     }
 
-    fn begin(self: &Rc<Self>, job: Rc<Job>, key: ServerKey) -> Option<Run> {
-        let mut balancer = self.balancer().borrow_mut();
+    fn begin(&self, job: Rc<Job>, key: ServerKey) -> Option<Run> {
+        let mut balancer = self.servers.balancer().borrow_mut();
         let info = balancer.server(key)?;
         let target = Target { key, id: info.id.clone(), address: info.address };
-        let ticket = balancer.begin(self.now(), key, &job.demand());
+        let ticket = balancer.begin(self.servers.now(), key, &job.demand());
         drop(balancer);
-        Some(Run::new(self.clone(), job, target, ticket))
+        Some(Run::new(self.servers.clone(), job, target, ticket))
     }
 
     fn terms(&self, job: &Job, until: Instant) -> Terms {
         Terms {
             priority: job.plan.priority,
             objective: job.plan.objective,
-            due: self.since_start(until),
+            due: until.saturating_duration_since(self.servers.started()),
             bytes: job.request.body.len(),
         }
     }
--- a/crates/quillpulley/src/proxy/health.rs
+++ b/crates/quillpulley/src/proxy/health.rs
@@ -9,12 +9,10 @@
 use hyper::header::{HeaderMap, HeaderValue, HOST};
 use hyper::{Request, Response, StatusCode};
 use quillpulley_routing::{Probe, ServerKey};
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout};
 
 /// The time between two looks at whether a check is due.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -86,27 +84,3 @@
     let milliseconds: f64 = headers::single_text(headers, &WARMUP_REMAINING_MS)?.parse().ok()?;
     Duration::try_from_secs_f64(milliseconds / 1000.0).ok()
 }
-
-/// When a request or a check failed at a server.
-#[derive(Default)]
-pub struct Failures {
-    last: Cell<Option<Instant>>,
-    happened: Notify,
-}
-
-impl Failures {
-    /// One failed just now.
-    pub fn note(&self) {
-        self.last.set(Some(Instant::now()));
-        self.happened.notify_one();
-    }
-
-    /// The last one.
-    pub fn last(&self) -> Option<Instant> {
-        self.last.get()
-    }
-
-    async fn happened(&self) {
-        self.happened.notified().await;
-    }
-}
--- a/crates/quillpulley/src/proxy/mod.rs
+++ b/crates/quillpulley/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod departure;
 pub mod events;
 mod exchange;
+mod failures;
 mod faults;
 mod feed_client;
 mod forward;
@@ -27,6 +28,7 @@
 mod request;
 mod run;
 mod server;
+mod servers;
 mod stream;
 
 pub use faults::Faults;
--- a/crates/quillpulley/src/proxy/plane.rs
+++ b/crates/quillpulley/src/proxy/plane.rs
@@ -1,17 +1,20 @@
 //! What all requests of a proxy share: the configuration in force, the choice of servers, budgets and connections.
 
-use super::admission::Admission;
+use super::admission::{Admission, NoPlace};
 use super::departure::Departure;
+use super::failures::Failures;
 use super::faults::Faults;
-use super::health::Failures;
 use super::lifecycle::{self, Lifecycle};
 use super::memory::BodyBudget;
 use super::plan::InForce;
 use super::pool::Pool;
+use super::request::Job;
+use super::run::Run;
+use super::servers::Servers;
 use hyper::header::HeaderValue;
 use quillpulley_budget::RetryBudgets;
 use quillpulley_configuration::Configuration;
-use quillpulley_routing::{Balancer, HomeDemand, Limiter, ServedIn, ServerKey};
+use quillpulley_routing::{Balancer, HomeDemand, Limiter, ServedIn, ServerKey, WaitingLimits};
 use quillpulley_wire::{FrontState, Server, ServerState};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashSet};
@@ -37,24 +40,19 @@
     pub pool: Rc<Pool>,
     /// The memory for bodies.
     pub bodies: BodyBudget,
-    /// Requests that wait for a place at a server.
-    pub admission: Admission,
+    /// How many requests may wait for places at servers of a service.
+    pub waiting: WaitingLimits,
     /// Faults for tests.
     pub faults: Faults,
 }
 
 /// What all requests share.
 pub struct Plane {
-    started: Instant,
-    balancer: RefCell<Balancer>,
+    servers: Rc<Servers>,
+    admission: Rc<Admission>,
     budgets: RefCell<RetryBudgets>,
-    pool: Rc<Pool>,
-    bodies: BodyBudget,
-    admission: Admission,
-    failures: Failures,
     in_force: RefCell<Option<Rc<InForce>>>,
     open_ids: RefCell<HashSet<HeaderValue>>,
-    fronts: Cell<usize>,
     lifecycle: Cell<Lifecycle>,
     departure: Cell<Option<Departure>>,
     last_call: Notify,
@@ -66,18 +64,14 @@
 impl Plane {
     /// Nothing is known yet.
     pub fn new(parts: Parts) -> Rc<Self> {
-        let Parts { region, balancer, budgets, pool, bodies, admission, faults } = parts;
+        let Parts { region, balancer, budgets, pool, bodies, waiting, faults } = parts;
+        let servers = Servers::new(balancer, pool, bodies);
         Rc::new(Plane {
-            started: Instant::now(),
-            balancer: RefCell::new(balancer),
+            admission: Admission::new(servers.clone(), waiting),
+            servers,
             budgets: RefCell::new(budgets),
-            pool,
-            bodies,
-            admission,
-            failures: Failures::default(),
             in_force: RefCell::default(),
             open_ids: RefCell::default(),
-            fronts: Cell::new(1),
             lifecycle: Cell::default(),
             departure: Cell::default(),
             last_call: Notify::new(),
@@ -89,17 +83,17 @@
 
     /// The time since the start.
     pub fn now(&self) -> Duration {
-        self.started.elapsed()
+        self.servers.now()
     }
 
     /// A time as one since the start.
     pub fn since_start(&self, time: Instant) -> Duration {
-        time.saturating_duration_since(self.started)
+        time.saturating_duration_since(self.servers.started())
     }
 
     /// A time since the start as one of the clock.
     pub fn at(&self, time: Duration) -> Instant {
-        self.started + time
+        self.servers.started() + time
     }
 
     /// After what time clients may try again while no configuration is known.
@@ -123,7 +117,7 @@
             return;
         }
         log::info!("configuration {} is in force", configuration.version);
-        self.balancer.borrow_mut().set_services(configuration.services.values());
+        self.balancer().borrow_mut().set_services(configuration.services.values());
         let in_force = Rc::new(InForce::new(configuration));
         let before = self.in_force.replace(Some(in_force.clone()));
         if before.is_some_and(|before| before.homes().all() != in_force.homes().all()) {
@@ -134,17 +128,27 @@
 
     /// The choice of servers. Nothing else of the plane may be called while it is borrowed.
     pub fn balancer(&self) -> &RefCell<Balancer> {
-        &self.balancer
+        self.servers.balancer()
     }
 
-    /// Requests that wait for a place at a server.
-    pub fn admission(&self) -> &Admission {
-        &self.admission
+    /// A place at a server, other than those that were tried, at once or until then.
+    pub async fn place(&self, job: &Rc<Job>, tried: &[ServerKey], until: Instant) -> Result<Run, NoPlace> {
+        self.admission.place(job, tried, until).await
+    }
+
+    /// Gives places at all servers to those who wait.
+    pub fn admit_all(&self) {
+        self.admission.admit_all();
+    }
+
+    /// Looks again for places while somebody waits, for as long as it is polled.
+    pub async fn keep_admitting(self: Rc<Self>) {
+        self.admission.keep_admitting().await;
     }
 
     /// When something failed at a server.
     pub fn failures(&self) -> &Failures {
-        &self.failures
+        self.servers.failures()
     }
 
     /// Faults for tests.
@@ -159,12 +163,12 @@
 
     /// The connections to servers.
     pub fn pool(&self) -> &Rc<Pool> {
-        &self.pool
+        self.servers.pool()
     }
 
     /// The memory for bodies.
     pub fn bodies(&self) -> &BodyBudget {
-        &self.bodies
+        self.servers.bodies()
     }
 
     /// Whether the process has been told to end.
@@ -249,43 +253,43 @@
 
     /// The proxies that share the servers.
     pub fn set_fronts(self: &Rc<Self>, fronts: Vec<Limiter>) {
-        self.fronts.set(fronts.len().max(1));
-        self.balancer.borrow_mut().set_limiters(fronts);
+        self.servers.set_fronts(fronts.len());
+        self.balancer().borrow_mut().set_limiters(fronts);
         self.admit_all();
     }
 
     /// The zones to which nothing is sent.
     pub fn set_evacuated(self: &Rc<Self>, zones: &BTreeSet<String>) {
-        self.balancer.borrow_mut().set_evacuated(self.now(), zones);
+        self.balancer().borrow_mut().set_evacuated(self.now(), zones);
         self.admit_all();
     }
 
     /// A server is listed, or its entry has changed.
     pub fn put_server(self: &Rc<Self>, server: &Server) {
-        let key = self.balancer.borrow_mut().put_server(self.now(), server);
+        let key = self.balancer().borrow_mut().put_server(self.now(), server);
         match key {
-            Some(key) if server.state == ServerState::Draining => self.pool.forget(key),
-            Some(_) => self.admit(&server.service),
+            Some(key) if server.state == ServerState::Draining => self.pool().forget(key),
+            Some(_) => self.admission.admit(&server.service),
             None => log::error!("server {}: {} is no address", server.id, server.address),
         }
     }
 
     /// A server is gone.
     pub fn remove_server(&self, id: &str) {
-        let removed = self.balancer.borrow_mut().remove_server(self.now(), id);
+        let removed = self.balancer().borrow_mut().remove_server(self.now(), id);
         if let Some(key) = removed {
-            self.pool.abort(key);
+            self.pool().abort(key);
         }
     }
 
     /// Whether anything may be sent to a server that was chosen before.
     pub fn is_usable(&self, server: ServerKey) -> bool {
-        self.balancer.borrow().is_usable(server)
+        self.servers.is_usable(server)
     }
 
     /// The part of a server's connections that this proxy may keep.
     pub fn connection_share(&self, max_connections: u32) -> usize {
-        max_connections as usize / self.fronts.get()
+        self.servers.connection_share(max_connections)
     }
 }
 
--- a/crates/quillpulley/src/proxy/run.rs
+++ b/crates/quillpulley/src/proxy/run.rs
@@ -1,8 +1,8 @@
 //! One send of a request: its connection, and its account with the choice of servers.
 
-use super::plane::Plane;
 use super::pool::{Target, Watch};
 use super::request::Job;
+use super::servers::Servers;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
 use quillpulley_link::{Failure, Link};
@@ -18,7 +18,7 @@
 
 /// A send that is under way. Dropped before it has ended, its connection is closed, and so the server stops.
 pub struct Run {
-    plane: Rc<Plane>,
+    servers: Rc<Servers>,
     job: Rc<Job>,
     target: Target,
     ticket: Option<Ticket>,
@@ -28,8 +28,8 @@
 
 impl Run {
     /// Of a request to a server, with a ticket of the choice of servers.
-    pub fn new(plane: Rc<Plane>, job: Rc<Job>, target: Target, ticket: Ticket) -> Self {
-        Run { plane, job, target, ticket: Some(ticket), link: None, watch: None }
+    pub fn new(servers: Rc<Servers>, job: Rc<Job>, target: Target, ticket: Ticket) -> Self {
+        Run { servers, job, target, ticket: Some(ticket), link: None, watch: None }
     }
 
     /// The server.
@@ -40,7 +40,7 @@
     /// Goes on with this connection. What may run again does not wait for a server that is gone.
     pub fn attach(&mut self, link: Link) -> &mut Link {
         let socket = self.job.plan.repeatable.then(|| link.socket().clone());
-        self.watch = socket.map(|socket| self.plane.pool().watch(self.target.key, socket));
+        self.watch = socket.map(|socket| self.servers.pool().watch(self.target.key, socket));
         self.link.insert(link)
     }
 
@@ -53,7 +53,7 @@
     /// Notes that the server has begun to work on it.
     pub fn started(&self) {
         if let Some(ticket) = &self.ticket {
-            self.plane.balancer().borrow_mut().started(self.plane.now(), ticket);
+            self.servers.balancer().borrow_mut().started(self.servers.now(), ticket);
         }
     }
 
@@ -74,7 +74,7 @@
         if body.size_hint().lower() > MAX_ANSWER as u64 {
             return Err(Failure::TooLarge);
         }
-        let mut held = self.plane.bodies().hold();
+        let mut held = self.servers.bodies().hold();
         let mut first: Option<Bytes> = None;
         let mut all = BytesMut::new();
         while let Some(data) = poll_fn(|cx| self.poll_data(cx, &mut body)).await {
@@ -98,8 +98,8 @@
     pub fn end_whole(mut self, outcome: Outcome, keep_alive: Option<Duration>) {
         self.watch = None;
         if let Some((link, time)) = self.link.take().zip(keep_alive) {
-            let share = self.plane.connection_share(self.job.plan.max_connections);
-            self.plane.pool().keep(self.target.key, link, time, share);
+            let share = self.servers.connection_share(self.job.plan.max_connections);
+            self.servers.pool().keep(self.target.key, link, time, share);
         }
         self.account(outcome);
     }
@@ -112,11 +112,11 @@
 
     fn account(&mut self, outcome: Outcome) {
         if let Some(ticket) = self.ticket.take() {
-            self.plane.balancer().borrow_mut().end(self.plane.now(), ticket, outcome);
+            self.servers.balancer().borrow_mut().end(self.servers.now(), ticket, outcome);
             if matches!(outcome, Outcome::Failed(_)) {
-                self.plane.failures().note();
+                self.servers.failures().note();
             }
-            self.plane.admit(&self.job.plan.service);
+            self.servers.place_came_free(&self.job.plan.service);
         }
     }
 }
--- a/crates/quillpulley/src/proxy/server.rs
+++ b/crates/quillpulley/src/proxy/server.rs
@@ -1,6 +1,5 @@
 //! Starts the parts of a proxy and ends them.
 
-use super::admission::Admission;
 use super::departure::Departure;
 use super::faults::Faults;
 use super::feed_client::FeedClient;
@@ -113,7 +112,7 @@
             budgets: RetryBudgets::new(budget_options(settings)),
             pool: Pool::new((descriptors - for_clients).max(1)),
             bodies,
-            admission: Admission::new(waiting),
+            waiting,
             faults,
         });
         let clients = Connections::new(client_options(for_clients.max(1), &Limits::default()));
