Tell a child's earlier connection from its later one by number, also where it speaks last

Found in the review of calls and answers between processes: - A core process or an agent that connects twice in short order may be heard in the other order: the introduction on the earlier connection comes last. It then took the later one's place, and what waited on it was read after what is newer. Links are numbered as their connections come; the one with the lower number is closed now, unread. - A core process below the primary that subscribes anew on the connection that it has (the primary stood still for a second), or in a new life, forgets the totals that it was sent, and got deltas only: it and all below it went on with their own sums, marked incomplete, until a link broke.

Tests, each failing without its change: agent (older connection), control (peer table), feed (begin_anew, two).

--- a/crates/feed/src/children.rs
+++ b/crates/feed/src/children.rs
@@ -31,13 +31,21 @@
     pub(crate) heard: Duration,
     /// Its reports so far, while it is silent and not counted.
     pub(crate) set_aside: Option<Report>,
+    /// Whether it has reported.
+    pub(crate) has_reported: bool,
     /// Whether it was sent totals.
     pub(crate) has_totals: bool,
 }
 
 impl ChildState {
     pub(crate) fn new(now: Duration) -> Self {
-        ChildState { phase: Phase::Connected, heard: now, set_aside: None, has_totals: false }
+        ChildState {
+            phase: Phase::Connected,
+            heard: now,
+            set_aside: None,
+            has_reported: false,
+            has_totals: false,
+        }
     }
 
     pub(crate) fn subscription(&self) -> Option<&Subscription> {
--- /dev/null
+++ b/crates/feed/tests/begin_anew.rs
@@ -0,0 +1,90 @@
+//! A child that begins anew on a connection that its parent takes for the one before.
+
+use quillpulley_feed::{Action, Event, FeedNode, LocalReport, Options};
+use quillpulley_wire::Body;
+use std::time::Duration;
+
+/// Two nodes, and the frames between them.
+struct Pair {
+    now: Duration,
+    root: FeedNode<u8>,
+    child: FeedNode<u8>,
+}
+
+const CHILD: u8 = 1;
+const STEP: Duration = Duration::from_millis(100);
+
+impl Pair {
+    fn new() -> Pair {
+        let root = FeedNode::new(Options::core("root"));
+        let mut pair = Pair { now: Duration::ZERO, root, child: FeedNode::new(Options::core("child")) };
+        pair.at_root(Event::BecomeRoot { epoch: 1 });
+        pair.at_root(Event::ChildUp(CHILD));
+        pair
+    }
+
+    fn at_root(&mut self, event: Event<u8>) {
+        let mut actions = Vec::new();
+        self.root.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::SendChild(_, body) | Action::SendChildren(_, body) => self.to_child(body),
+                _ => {}
+            }
+        }
+    }
+
+    fn to_child(&mut self, body: Body) {
+        self.at_child(Event::ParentFrame(body));
+    }
+
+    fn at_child(&mut self, event: Event<u8>) {
+        let mut actions = Vec::new();
+        self.child.handle(self.now, event, &mut actions);
+        for action in actions {
+            if let Action::SendParent(body) = action {
+                self.at_root(Event::ChildFrame(CHILD, body));
+            }
+        }
+    }
+
+    fn go_on(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.at_root(Event::Stamp);
+            self.at_root(Event::Tick);
+            self.at_child(Event::Tick);
+        }
+    }
+}
+
+#[test]
+fn a_child_that_subscribes_anew_is_sent_the_whole_totals_again() {
+    let mut pair = Pair::new();
+    pair.at_child(Event::LocalReport(LocalReport { proxies: 2, ..LocalReport::default() }));
+    pair.at_child(Event::ParentUp);
+    pair.go_on(Duration::from_secs(2));
+    assert!(pair.child.totals().complete, "the totals come from the root");
+    assert_eq!(pair.child.totals().counts.proxies, 2);
+    // The root stood still for a while, and the child asked anew on the same connection.
+    pair.now += Duration::from_secs(2);
+    pair.at_child(Event::ParentUp);
+    pair.go_on(Duration::from_secs(4));
+    assert!(pair.child.totals().complete, "they still do");
+    assert_eq!(pair.child.totals().counts.proxies, 2);
+}
+
+#[test]
+fn a_child_in_a_new_life_is_sent_the_whole_totals() {
+    let mut pair = Pair::new();
+    pair.at_child(Event::LocalReport(LocalReport { proxies: 2, ..LocalReport::default() }));
+    pair.at_child(Event::ParentUp);
+    pair.go_on(Duration::from_secs(2));
+    pair.child = FeedNode::new(Options::core("child"));
+    pair.at_child(Event::LocalReport(LocalReport { proxies: 3, ..LocalReport::default() }));
+    pair.at_child(Event::ParentUp);
+    pair.go_on(Duration::from_secs(4));
+    assert!(pair.child.totals().complete);
+    assert_eq!(pair.child.totals().counts.proxies, 3);
+}
--- a/crates/quillpulley/src/agent/children.rs
+++ b/crates/quillpulley/src/agent/children.rs
@@ -11,6 +11,17 @@
     name: String,
 }
 
+/// What has become of a link that came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Added {
+    /// It is the only one of its child.
+    New,
+    /// It has taken the place of this one, which is over.
+    InPlaceOf(LinkId),
+    /// The child has a later one.
+    Outdated,
+}
+
 /// The links from other agents and from the proxy.
 #[derive(Default)]
 pub struct Children {
@@ -18,13 +29,18 @@
 }
 
 impl Children {
-    /// Adds a link. Returns the former link of the same child, which is over.
-    pub fn add(&mut self, link: LinkId, hello: &Hello) -> Option<LinkId> {
+    /// Adds a link. Links are numbered as their connections came, and the introduction on an older one may come
+    /// last: then that one is over.
+    pub fn add(&mut self, link: LinkId, hello: &Hello) -> Added {
         let child = Child { kind: hello.kind, name: hello.name.clone() };
         let former = self.by_link.iter().find(|(_, known)| **known == child).map(|(link, _)| *link);
-        former.into_iter().for_each(|link| self.remove(link));
+        match former {
+            Some(later) if later > link => return Added::Outdated,
+            Some(former) => self.remove(former),
+            None => {}
+        }
         self.by_link.insert(link, child);
-        former
+        former.map_or(Added::New, Added::InPlaceOf)
     }
 
     /// Removes a link.
--- a/crates/quillpulley/src/agent/host/links.rs
+++ b/crates/quillpulley/src/agent/host/links.rs
@@ -1,6 +1,7 @@
 //! Links: who is at the other end, and whom their messages are for.
 
 use super::Host;
+use crate::agent::children::Added;
 use crate::agent::search;
 use crate::peer::{LinkId, PeerEvent};
 use log::{debug, info};
@@ -33,9 +34,13 @@
             self.peers.close(link);
             return;
         }
-        if let Some(former) = self.children.add(link, hello) {
-            self.peers.close(former);
-            self.tell_node(feed::Event::ChildDown(former));
+        match self.children.add(link, hello) {
+            Added::New => {}
+            Added::InPlaceOf(former) => {
+                self.peers.close(former);
+                self.tell_node(feed::Event::ChildDown(former));
+            }
+            Added::Outdated => return self.peers.close(link),
         }
         match hello.kind {
             PeerKind::Proxy => info!("proxy {} connected from {address}", hello.name),
--- a/crates/quillpulley/src/control/peer_table.rs
+++ b/crates/quillpulley/src/control/peer_table.rs
@@ -104,17 +104,21 @@
 
     /// Another core process has opened a link. Returns the links to be closed: an older one of the same process,
     /// and a connection to it that is still being made. That one may have been begun before the process ran, and
-    /// then it hangs; another is due at once.
+    /// then it hangs; another is due at once. Links are numbered as their connections came, and the introduction on
+    /// an older one may come last: then that link is the one to be closed, and what it brings is not read.
     pub fn accepted(&mut self, now: Duration, link: L, node: NodeId) -> Vec<L> {
+        let same_machine = |other: &NodeId| other.ip == node.ip;
+        let known = self.incoming.iter().find(|(_, other)| same_machine(other)).map(|(link, _)| *link);
+        if known.is_some_and(|known| known > link) {
+            return vec![link];
+        }
         self.learn(now, node.address());
         let given_up = self.dial_again(now, node.address());
-        let same_machine = |other: &NodeId| other.ip == node.ip;
-        let older = self.incoming.iter().find(|(_, other)| same_machine(other)).map(|(link, _)| *link);
-        if let Some(older) = older {
+        if let Some(older) = known {
             self.incoming.remove(&older);
         }
         self.incoming.insert(link, node);
-        older.into_iter().chain(given_up).collect()
+        known.into_iter().chain(given_up).collect()
     }
 
     /// A process is known to run: a pause ends, and a connection that is still being made is given up, once.
--- a/crates/quillpulley/tests/agent.rs
+++ b/crates/quillpulley/tests/agent.rs
@@ -3,17 +3,18 @@
 mod common;
 
 use common::tree::{front, Node};
-use common::{expect, run};
+use common::{expect, hello, read_to_end, run};
 use quillpulley::agent::{serve, AgentSockets};
 use quillpulley::signals::Command;
 use quillpulley::Settings;
 use quillpulley_configuration::published::{core_key, front_key};
-use quillpulley_wire::{encode_value, Core, Front};
+use quillpulley_wire::{encode_frame, encode_value, Body, Core, Front, PeerKind};
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::task::{spawn_local, JoinHandle};
 
@@ -127,6 +128,27 @@
     });
 }
 
+#[test]
+fn a_childs_older_connection_does_not_take_the_place_of_its_later_one() {
+    run(async {
+        let machines = Machines::new();
+        let (port, [listener]) = same_ports([machines.core(1)]).await;
+        let core = Node::core(listener, 1);
+        core.publish("route/x", b"first".to_vec());
+        let agent = Agent::start(machines.settings(1, port, &[machines.core(1)])).await;
+        // Its introduction comes late.
+        let mut older = TcpStream::connect(agent.proxy).await.expect("a connection");
+        let mut proxy = Node::proxy(agent.proxy, machines.report(1));
+        proxy.until("the first state", |shown| shown.holds("route/x", b"first")).await;
+        let introduction = Body::Hello(Box::new(hello(PeerKind::Proxy, "front-1")));
+        older.write_all(&encode_frame(introduction)).await.expect("a hello");
+        expect("the end of the older one", read_to_end(&mut older)).await;
+        core.publish("route/x", b"second".to_vec());
+        proxy.until("the second state", |shown| shown.holds("route/x", b"second")).await;
+        assert_eq!(proxy.shown().parents_lost, 0);
+    });
+}
+
 #[test]
 fn when_the_parent_dies_the_next_seed_is_taken() {
     run(async {
--- a/crates/quillpulley/tests/control/peer_table.rs
+++ b/crates/quillpulley/tests/control/peer_table.rs
@@ -100,6 +100,19 @@
     assert_eq!(peer_table.sender(10), None);
 }
 
+#[test]
+fn a_link_that_introduces_itself_after_a_later_one_is_not_read() {
+    let mut peer_table: PeerTable<u32> = PeerTable::new(ME);
+    let (before, after) = (NodeId::new(THIRD, 3), NodeId::new(THIRD, 4));
+    for late in [before, after] {
+        peer_table.accepted(at(0), 10, after);
+        assert_eq!(peer_table.accepted(at(5), 9, late), [9], "{late}");
+        assert_eq!((peer_table.sender(9), peer_table.sender(10)), (None, Some(after)));
+        peer_table.closed(at(6), 9, NO_JITTER);
+        assert!(peer_table.receives_from(after));
+    }
+}
+
 #[test]
 fn a_peer_that_connects_is_dialled_again_at_once_where_an_attempt_hangs_or_a_pause_runs() {
     // It was dialled before it had power: the attempt may hang.
