Do not take a late answer to a request for that to a health check

A health check has no id. A second answer that comes late on a kept connection could say of its server that it is well (a mark of not executed is enough); one with the id of a request is now none. The test fails without the change.

--- a/crates/feed/tests/begin_anew.rs
+++ b/crates/feed/tests/begin_anew.rs
@@ -28,13 +28,13 @@
         self.root.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::SendChild(_, body) | Action::SendChildren(_, body) => self.to_child(body),
+                Action::SendChild(_, body) | Action::SendChildren(_, body) => self.child_gets(body),
                 _ => {}
             }
         }
     }
 
-    fn to_child(&mut self, body: Body) {
+    fn child_gets(&mut self, body: Body) {
         self.at_child(Event::ParentFrame(body));
     }
 
--- a/crates/quillpulley/src/proxy/health.rs
+++ b/crates/quillpulley/src/proxy/health.rs
@@ -1,7 +1,7 @@
 //! Health checks of servers that have been taken out of service. Others are not checked: requests show how they are.
 
 use super::answer;
-use super::headers::{self, EXPECT_INSTANCE, INSTANCE_ID, NOT_EXECUTED, WARMUP_REMAINING_MS};
+use super::headers::{self, EXPECT_INSTANCE, INSTANCE_ID, NOT_EXECUTED, REQUEST_ID, WARMUP_REMAINING_MS};
 use super::plane::Plane;
 use super::pool::Target;
 use bytes::Bytes;
@@ -71,6 +71,10 @@
 /// One that is too busy to answer is well. Another one at its address is not.
 fn judge(answer: &Response<Bytes>, id: &str) -> Probe {
     let headers = answer.headers();
+    if headers.get(REQUEST_ID).is_some_and(|id| !id.is_empty()) {
+        // A second answer to a request that was on this connection before: checks have no id.
+        return Probe::Failed;
+    }
     let is_itself = headers.get(INSTANCE_ID).is_some_and(|instance| instance == id);
     match answer.status() {
         StatusCode::OK if is_itself => Probe::Well { warmup_left: warmup_left(headers) },
--- a/crates/quillpulley/tests/proxy/repeats.rs
+++ b/crates/quillpulley/tests/proxy/repeats.rs
@@ -305,6 +305,9 @@
             scene.call().await.reset();
             scene.has_failed().await;
         }
+        // A late answer to a request says nothing of the server.
+        let late = format!("Quillpulley-Request-Id: id-1\r\n{NOT_EXECUTED}");
+        scene.one.call().await.answer_check("503 Full", &late).await;
         let check = scene.one.call().await;
         assert_eq!(check.request.first, "GET /health HTTP/1.1");
         assert_eq!(check.request.header("quillpulley-request-id"), None);
