--- /dev/null
+++ b/crates/quillpulley/tests/proxy/homes.rs
@@ -0,0 +1,33 @@
+//! Which regions a proxy says its clients would better go to.
+
+use crate::support::client::request;
+use crate::support::{configuration, route, run, Client, Proxy};
+
+/// Sends requests that nobody can serve, as no server is in their homes, and does not wait for their answers.
+async fn send(proxy: &Proxy, host: &str, path: &str, count: usize) -> Vec<Client> {
+    let mut clients = Vec::new();
+    for number in 0..count {
+        let mut client = proxy.client().await;
+        let request = request(&format!("GET {path}"), &format!("id-{host}-{number}"), "", "");
+        client.send(&request.replace("h.example", host)).await;
+        clients.push(client);
+    }
+    clients
+}
+
+/// For a host none of whose requests may be served here the directory needs nobody to count them, and they say
+/// nothing of other hosts.
+#[test]
+fn only_requests_of_hosts_with_and_without_homes_elsewhere_are_counted() {
+    run(async {
+        let bound = route("bound", "idempotent", "\"HomeRegions\":[\"west\"]");
+        let free = route("free", "idempotent", "");
+        let elsewhere =
+            route("all", "idempotent", "\"HomeRegions\":[\"north\"]").replace("h.example", "g.example");
+        let proxy = Proxy::start(&configuration(1, &[&bound, &free, &elsewhere]), &[]).await;
+        let _others = send(&proxy, "g.example", "/all/", 30).await;
+        let _counted = send(&proxy, "h.example", "/bound/", 25).await;
+        proxy.agent.until(|front| !front.preferred_regions.is_empty()).await;
+        assert_eq!(proxy.agent.front().expect("a front").preferred_regions, ["west"]);
+    });
+}
--- a/crates/quillpulley/tests/proxy/main.rs
+++ b/crates/quillpulley/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+mod homes;
 mod life;
 mod limits;
 mod repeats;
--- a/crates/quillpulley/tests/proxy/support/agent.rs
+++ b/crates/quillpulley/tests/proxy/support/agent.rs
@@ -93,13 +93,18 @@
         self.shared.node.borrow().subtree().fronts.values().next().cloned()
     }
 
-    /// Waits until the proxy has reported this state.
-    pub async fn until_front(&self, state: FrontState) {
-        while self.front().is_none_or(|front| front.state != state) {
+    /// Waits until the proxy has reported a front like this.
+    pub async fn until(&self, is_wanted: impl Fn(&Front) -> bool) {
+        while !self.front().is_some_and(|front| is_wanted(&front)) {
             self.shared.changed.notified().await;
         }
     }
 
+    /// Waits until the proxy has reported this state.
+    pub async fn until_front(&self, state: FrontState) {
+        self.until(|front| front.state == state).await;
+    }
+
     pub async fn until_ready(&self) {
         self.until_front(FrontState::Ready).await;
     }
