--- a/crates/quillpulley/tests/proxy/streams.rs
+++ b/crates/quillpulley/tests/proxy/streams.rs
@@ -182,3 +182,22 @@
         call.write_until_closed(&format!("id: 1\ndata: {}\n\n", "x".repeat(60_000))).await;
     });
 }
+
+#[test]
+fn a_client_that_leaves_while_its_stream_is_taken_up_ends_that_too() {
+    run(async {
+        let (proxy, mut one, mut two) = start().await;
+        let mut client = asked(&proxy, "/r/x", "").await;
+        let mut call = next_call(&mut one, &mut two).await;
+        call.begin_stream().await;
+        call.chunk("id: 1\ndata: a\n\n").await;
+        client.head().await;
+        client.chunk().await;
+        call.reset();
+        // The second server has it, and has answered nothing.
+        let call = next_call(&mut one, &mut two).await;
+        drop(client);
+        call.left().await;
+        assert!(!one.has_call() && !two.has_call());
+    });
+}
