--- a/crates/quillpulley/tests/proxy/sends.rs
+++ b/crates/quillpulley/tests/proxy/sends.rs
@@ -150,3 +150,31 @@
         assert_eq!(seen.faults(), Vec::<String>::new());
     });
 }
+
+#[test]
+fn a_stream_with_homes_is_taken_up_in_these_only() {
+    run(async {
+        let first = "request last".to_string();
+        let cut = "request stream event:1 until:1 reset".to_string();
+        let mut servers =
+            ScriptedServers::start([first, cut, "request stream event:2 end".to_string()]).await;
+        // The zone of the others is in no region that is a home.
+        servers.entries[1..].iter_mut().for_each(|entry| entry.zone = "elsewhere".to_string());
+        let seen = servers.seen.clone();
+        let fields = "\"MaxAttempts\":3,\"Resumable\":true,\"HomeRegions\":[\"r\"]";
+        let routes = route("resume", "streaming", fields);
+        let entries = &servers.entries;
+        let proxy =
+            Proxy::start_with_faults("", &configuration(1, &[&routes]), entries, Faults::default()).await;
+        let mut client = proxy.client().await;
+        let resume = |id: &str| request("POST /resume/x", id, "", "wwww");
+        client.ask(&resume("id-0")).await;
+        proxy.agent.until_counted("one").await;
+        client.send(&resume("id-1")).await;
+        client.head().await;
+        assert_eq!(client.chunk().await.as_deref(), Some("id: 1\ndata: 1\n\n"));
+        seen.received("1");
+        assert!(client.breaks_off().await);
+        assert_eq!((seen.runs_of("id-1"), seen.unplayed()), (1, 1));
+    });
+}
