Let members catch up under the largest orders; bound what a hung disk holds in memory

A member that comes back while orders of 4.5 MB follow each other never became a member: it counted as ready while the next entry was on its way, the view change sent that once more in its epoch, and the member did not get there within half a second; again and again, each time with a pause for orders. New orders now wait for as long as the last entries are on their way to a node that takes them, and it is let in before they follow; the log is not compacted under it meanwhile. A node of which it is not known what it holds gets no long entries on trial. A message may take 0.6 s a megabyte instead of 0.3: several receivers share a link, and a slow disk writes 4 MB/s. A member whose disk does not answer takes no whole state into memory.

--- /dev/null
+++ b/crates/quillpulley/tests/catch_up/disk.rs
@@ -0,0 +1,172 @@
+//! A disk in memory that counts what it holds, and what a machine's real one would need for it.
+
+use quillpulley_replication::{Recovered, StoreFault, Write};
+use quillpulley_storage::files::{DataFile, Files};
+use quillpulley_storage::{Options, Storage};
+use quillpulley_wire::{decode_value, encode_value, WitnessRecord, WitnessRecordRef};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+
+type Contents = Rc<RefCell<Vec<u8>>>;
+
+#[derive(Default)]
+struct Shared {
+    files: RefCell<BTreeMap<String, Contents>>,
+    room: Cell<usize>,
+    peak: Cell<usize>,
+    written: Cell<usize>,
+    syncs: Cell<u64>,
+}
+
+impl Shared {
+    fn used(&self) -> usize {
+        self.files.borrow().values().map(|file| file.borrow().len()).sum()
+    }
+
+    fn note_peak(&self) {
+        self.peak.set(self.peak.get().max(self.used()));
+    }
+}
+
+/// A folder whose contents outlive processes.
+#[derive(Clone, Default)]
+pub struct MemoryFolder(Rc<Shared>);
+
+pub struct MemoryFile(Rc<Shared>, Contents);
+
+impl Files for MemoryFolder {
+    type File = MemoryFile;
+
+    fn names(&self) -> io::Result<Vec<String>> {
+        Ok(self.0.files.borrow().keys().cloned().collect())
+    }
+
+    fn create(&self, name: &str) -> io::Result<MemoryFile> {
+        let contents = Contents::default();
+        self.0.files.borrow_mut().insert(name.to_string(), contents.clone());
+        Ok(MemoryFile(self.0.clone(), contents))
+    }
+
+    fn open(&self, name: &str) -> io::Result<MemoryFile> {
+        let contents = self.0.files.borrow().get(name).cloned().ok_or(io::ErrorKind::NotFound)?;
+        Ok(MemoryFile(self.0.clone(), contents))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut files = self.0.files.borrow_mut();
+        let contents = files.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        files.insert(to.to_string(), contents);
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.0.files.borrow_mut().remove(name);
+        Ok(())
+    }
+
+    fn sync_names(&self) -> io::Result<()> {
+        self.0.syncs.set(self.0.syncs.get() + 1);
+        Ok(())
+    }
+}
+
+impl DataFile for MemoryFile {
+    fn read(&self) -> io::Result<Vec<u8>> {
+        Ok(self.1.borrow().clone())
+    }
+
+    fn write(&self, offset: u64, bytes: &[u8]) -> io::Result<()> {
+        let end = offset as usize + bytes.len();
+        let grows_by = end.saturating_sub(self.1.borrow().len());
+        if self.0.used() + grows_by > self.0.room.get() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        let mut contents = self.1.borrow_mut();
+        let length = contents.len().max(end);
+        contents.resize(length, 0);
+        contents[offset as usize..end].copy_from_slice(bytes);
+        drop(contents);
+        self.0.written.set(self.0.written.get() + bytes.len());
+        self.0.note_peak();
+        Ok(())
+    }
+
+    fn set_length(&self, length: u64) -> io::Result<()> {
+        self.1.borrow_mut().resize(length as usize, 0);
+        Ok(())
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.0.syncs.set(self.0.syncs.get() + 1);
+        Ok(())
+    }
+}
+
+/// How fast a disk is.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    pub sync_us: u64,
+    pub bytes_per_us: f64,
+}
+
+/// 0.5 ms a sync, 120 MB a second.
+pub const USUAL: Speed = Speed { sync_us: 500, bytes_per_us: 120.0 };
+/// Thirty times as slow.
+pub const SLOW: Speed = Speed { sync_us: 15_000, bytes_per_us: 4.0 };
+/// The size of the disks.
+pub const DISK_BYTES: usize = 128_000_000;
+
+/// The disk of one machine.
+pub struct Disk {
+    folder: MemoryFolder,
+    storage: Option<Storage<MemoryFolder>>,
+    pub speed: Speed,
+}
+
+impl Disk {
+    pub fn new() -> Self {
+        let folder = MemoryFolder::default();
+        folder.0.room.set(DISK_BYTES);
+        Disk { folder, storage: None, speed: USUAL }
+    }
+
+    /// What a new process finds.
+    pub fn open(&mut self) -> Recovered {
+        let (storage, found) =
+            Storage::open_in(self.folder.clone(), Options::default()).expect("a sound folder");
+        self.storage = Some(storage);
+        let record = found.record.as_deref().map(decode_value::<WitnessRecordRef, WitnessRecord>);
+        let record = record.transpose().expect("a record");
+        Recovered { record, snapshot: found.snapshot, entries: found.entries }
+    }
+
+    /// Makes a write; gives how it ended and how long it takes.
+    pub fn write(&mut self, write: Write) -> (Result<(), StoreFault>, u64) {
+        let shared = &self.folder.0;
+        let before = (shared.syncs.get(), shared.written.get());
+        let storage = self.storage.as_mut().expect("an open disk");
+        let outcome = match write {
+            Write::Record(record) => storage.save_record(&encode_value(record)),
+            Write::Append(entries) => storage.append(&entries),
+            Write::Install { last, snapshot, entries } => storage.install(last, &snapshot, &entries),
+            Write::Compact { last, snapshot } => storage.compact(last, &snapshot),
+        };
+        let syncs = shared.syncs.get() - before.0;
+        let bytes = shared.written.get() - before.1;
+        let time = syncs * self.speed.sync_us + (bytes as f64 / self.speed.bytes_per_us) as u64;
+        (outcome.map_err(|_| StoreFault), time)
+    }
+
+    /// Whether it takes no more bytes than it has.
+    pub fn set_full(&mut self, full: bool) {
+        let shared = &self.folder.0;
+        shared.room.set(if full { 0 } else { DISK_BYTES });
+    }
+
+    /// The most bytes that it ever held.
+    pub fn peak(&self) -> usize {
+        self.folder.0.peak.get()
+    }
+}
--- /dev/null
+++ b/crates/quillpulley/tests/catch_up/world.rs
@@ -0,0 +1,415 @@
+//! Core processes in virtual time on links of limited bandwidth, with the storage and the queues that are in use.
+
+use super::disk::Disk;
+use quillpulley_replication::{
+    Action, Event, Faults, Options, Rejection, Replica, RestoreError, Role, StateMachine, StoreFault,
+};
+use quillpulley_wire::{Body, Entry, FrameDecoder, FrameEncoder, FrameQueue, Lane, NodeId};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+/// 86 Mbit/s, for what a machine sends to all others.
+const BYTES_PER_US: f64 = 10.75;
+const LATENCY_US: u64 = 12_000;
+const TICK_US: u64 = 50_000;
+/// What the kernel takes of a connection before it is sent.
+const SOCKET_BUFFER: usize = 2 * 1024 * 1024;
+const PACKET: usize = 16 * 1024;
+const MAXIMUM_QUEUED: usize = 8 * 1024 * 1024;
+const CONNECT_US: u64 = 50_000;
+
+/// How many bodies there were, and the latest of the longest: a state that stays large under short orders.
+#[derive(Clone, Debug, Default)]
+pub struct Counter {
+    pub count: u64,
+    pub body: Vec<u8>,
+}
+
+impl StateMachine for Counter {
+    fn apply(&mut self, entry: &Entry) {
+        self.count += 1;
+        if entry.payload.len() >= self.body.len() {
+            self.body = entry.payload.clone();
+        }
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        [&self.count.to_le_bytes()[..], &self.body].concat()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let (count, body) = snapshot.split_first_chunk().ok_or(RestoreError { reason: "short".into() })?;
+        *self = Counter { count: u64::from_le_bytes(*count), body: body.to_vec() };
+        Ok(())
+    }
+}
+
+/// One direction between two machines.
+#[derive(Default)]
+struct Pipe {
+    /// Counts the connections, so that nothing of an earlier one arrives.
+    connection: u64,
+    open: bool,
+    queue: FrameQueue,
+    /// Packets that the kernel holds.
+    socket: VecDeque<Vec<u8>>,
+    decoder: FrameDecoder,
+    /// When the heartbeats that are under way were sent.
+    heartbeats: VecDeque<u64>,
+}
+
+pub struct Machine {
+    pub id: NodeId,
+    pub replica: Option<Replica<Counter>>,
+    pub disk: Disk,
+    life: u64,
+    started_at: u64,
+    sending: bool,
+    turn: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Arrive { from: usize, to: usize, connection: u64, bytes: Vec<u8> },
+    Stored { machine: usize, life: u64, ticket: u64, result: Result<(), ()> },
+    Tick { machine: usize, life: u64 },
+    Sent { machine: usize },
+    Connect { one: usize, other: usize },
+}
+
+pub struct World {
+    pub now: u64,
+    pub machines: Vec<Machine>,
+    pipes: BTreeMap<(usize, usize), Pipe>,
+    queue: BinaryHeap<Reverse<(u64, u64, Happening)>>,
+    sequence: u64,
+    encoder: FrameEncoder,
+    witnesses: Vec<NodeId>,
+    faults: Faults,
+    /// Orders that were acknowledged, and those that may be in force or not.
+    pub acknowledged: u64,
+    pub unclear: u64,
+    next_order: u64,
+    under_way: Option<(u64, u64)>,
+    /// The longest that an order and a heartbeat took, in microseconds.
+    pub slowest_order: u64,
+    pub slowest_heartbeat: u64,
+    /// The most bytes that one machine's links and log held.
+    pub most_held: usize,
+}
+
+impl World {
+    pub fn new(count: usize) -> Self {
+        let node = |machine| NodeId::new(Ipv4Addr::new(10, 0, 0, 1 + machine as u8), 0);
+        let witnesses: Vec<NodeId> = (0..count).map(node).collect();
+        let machine = |id: &NodeId| Machine {
+            id: *id,
+            replica: None,
+            disk: Disk::new(),
+            life: 0,
+            started_at: 0,
+            sending: false,
+            turn: 0,
+        };
+        let mut world = World {
+            now: 0,
+            machines: witnesses.iter().map(machine).collect(),
+            pipes: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            encoder: FrameEncoder::default(),
+            witnesses,
+            faults: Faults::default(),
+            acknowledged: 0,
+            unclear: 0,
+            next_order: 1,
+            under_way: None,
+            slowest_order: 0,
+            slowest_heartbeat: 0,
+            most_held: 0,
+        };
+        (0..count).for_each(|machine| world.start(machine));
+        assert!(world.run_until(5_000, |world| world.members().len() == count), "a first view");
+        world
+    }
+
+    /// Starts a process on a machine, with what its disk holds.
+    pub fn start(&mut self, machine: usize) {
+        let slot = &mut self.machines[machine];
+        slot.life += 1;
+        slot.started_at = self.now;
+        let (life, bootstrap) = (slot.life, Some(self.witnesses.clone()));
+        let options = Options {
+            me: slot.id,
+            bootstrap,
+            seed: life * 31 + machine as u64,
+            faults: self.faults,
+            ..Options::default()
+        };
+        let recovered = slot.disk.open();
+        slot.replica =
+            Some(Replica::new(options, recovered, Counter::default(), Duration::ZERO).expect("a start"));
+        self.plan(TICK_US, Happening::Tick { machine, life });
+        for other in 0..self.machines.len() {
+            self.plan(CONNECT_US, Happening::Connect { one: machine, other });
+        }
+    }
+
+    /// Ends a process at once.
+    pub fn kill(&mut self, machine: usize) {
+        self.machines[machine].replica = None;
+        self.machines[machine].life += 1;
+        for other in 0..self.machines.len() {
+            self.disconnect(machine, other);
+        }
+    }
+
+    fn disconnect(&mut self, one: usize, other: usize) {
+        for (from, to) in [(one, other), (other, one)] {
+            let Some(pipe) = self.pipes.get_mut(&(from, to)).filter(|pipe| pipe.open) else { continue };
+            *pipe = Pipe { connection: pipe.connection + 1, ..Pipe::default() };
+            let id = self.machines[to].id;
+            self.handle(from, Event::Disconnected(id));
+        }
+    }
+
+    fn connect(&mut self, one: usize, other: usize) {
+        if one == other || self.machines[one].replica.is_none() || self.machines[other].replica.is_none() {
+            return;
+        }
+        for (from, to) in [(one, other), (other, one)] {
+            let pipe = self.pipes.entry((from, to)).or_default();
+            if pipe.open {
+                continue;
+            }
+            pipe.open = true;
+            let id = self.machines[to].id;
+            self.handle(from, Event::Connected(id));
+        }
+    }
+
+    pub fn run_for(&mut self, milliseconds: u64) {
+        self.run_until(milliseconds, |_| false);
+    }
+
+    /// Runs until something holds, at most for some time; says whether it came to hold.
+    pub fn run_until(&mut self, milliseconds: u64, holds: impl Fn(&World) -> bool) -> bool {
+        let end = self.now + milliseconds * 1_000;
+        while !holds(self) {
+            match self.queue.peek() {
+                Some(Reverse((at, ..))) if *at <= end => {}
+                _ => {
+                    self.now = end;
+                    return holds(self);
+                }
+            }
+            let Some(Reverse((at, _, happening))) = self.queue.pop() else { continue };
+            self.now = at;
+            self.happen(happening);
+        }
+        true
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrive { from, to, connection, bytes } => self.arrive(from, to, connection, &bytes),
+            Happening::Stored { machine, life, ticket, result } if self.machines[machine].life == life => {
+                let result = result.map_err(|()| StoreFault);
+                self.handle(machine, Event::Stored { ticket, result });
+            }
+            Happening::Tick { machine, life } if self.machines[machine].life == life => {
+                self.handle(machine, Event::Tick);
+                self.plan(TICK_US, Happening::Tick { machine, life });
+            }
+            Happening::Sent { machine } => {
+                self.machines[machine].sending = false;
+                self.send_packet(machine);
+            }
+            Happening::Connect { one, other } => self.connect(one, other),
+            Happening::Stored { .. } | Happening::Tick { .. } => {}
+        }
+    }
+
+    fn arrive(&mut self, from: usize, to: usize, connection: u64, bytes: &[u8]) {
+        let Some(pipe) = self.pipes.get_mut(&(from, to)).filter(|pipe| pipe.connection == connection) else {
+            return;
+        };
+        pipe.decoder.push(bytes);
+        let mut bodies = Vec::new();
+        while let Some(body) = pipe.decoder.next_frame().expect("messages") {
+            if is_heartbeat(&body) {
+                let sent_at = pipe.heartbeats.pop_front().expect("one that was sent");
+                self.slowest_heartbeat = self.slowest_heartbeat.max(self.now - sent_at);
+            }
+            bodies.push(body);
+        }
+        let (here, there) = (pipe.decoder.take_arrived(), pipe.decoder.take_credited());
+        if let Some(back) = self.pipes.get_mut(&(to, from)) {
+            if here > 0 {
+                back.queue.tell_arrived(here);
+            }
+            back.queue.credited(there);
+        }
+        self.send_packet(to);
+        let from = self.machines[from].id;
+        for body in bodies {
+            self.handle(to, Event::Message { from, body });
+        }
+    }
+
+    /// Sends the next packet of a machine, from one connection after the other.
+    fn send_packet(&mut self, machine: usize) {
+        if self.machines[machine].sending {
+            return;
+        }
+        let count = self.machines.len();
+        for _ in 0..count {
+            let to = self.machines[machine].turn;
+            self.machines[machine].turn = (to + 1) % count;
+            let Some(pipe) = self.pipes.get_mut(&(machine, to)) else { continue };
+            while pipe.socket.len() < SOCKET_BUFFER / PACKET {
+                let waiting = pipe.queue.waiting();
+                let taken = waiting.len().min(PACKET);
+                if taken == 0 {
+                    break;
+                }
+                pipe.socket.push_back(waiting[..taken].to_vec());
+                pipe.queue.advance(taken);
+            }
+            let Some(bytes) = pipe.socket.pop_front() else { continue };
+            let length = bytes.len();
+            let connection = pipe.connection;
+            let busy = (length as f64 / BYTES_PER_US) as u64;
+            self.machines[machine].sending = true;
+            self.plan(busy, Happening::Sent { machine });
+            self.plan(busy + LATENCY_US, Happening::Arrive { from: machine, to, connection, bytes });
+            return;
+        }
+    }
+
+    fn handle(&mut self, machine: usize, event: Event) {
+        let now = Duration::from_micros(self.now - self.machines[machine].started_at);
+        let Some(replica) = &mut self.machines[machine].replica else { return };
+        let mut actions = Vec::new();
+        replica.handle(now, event, &mut actions);
+        for action in actions {
+            self.act(machine, action);
+        }
+        let queued = self.pipes.range((machine, 0)..(machine + 1, 0)).map(|(_, pipe)| pipe.queue.bytes());
+        let log = self.machines[machine].replica.as_ref().map_or(0, Replica::log_bytes);
+        self.most_held = self.most_held.max(log + queued.sum::<usize>());
+    }
+
+    fn act(&mut self, machine: usize, action: Action) {
+        match action {
+            Action::Send { to, body } => self.send(machine, to, &body),
+            Action::Store { ticket, write } => {
+                let slot = &mut self.machines[machine];
+                let (result, time) = slot.disk.write(write);
+                let result = result.map_err(|_| ());
+                let stored = Happening::Stored { machine, life: slot.life, ticket, result };
+                self.plan(time, stored);
+            }
+            Action::Committed { order } => {
+                self.acknowledged += 1;
+                self.settled(order);
+            }
+            Action::Rejected { order, why } => {
+                self.unclear += u64::from(why == Rejection::Unknown);
+                self.settled(order);
+            }
+            Action::Applied { .. } | Action::RoleChanged(_) => {}
+        }
+    }
+
+    fn settled(&mut self, order: u64) {
+        if let Some((_, at)) = self.under_way.take_if(|(under_way, _)| *under_way == order) {
+            self.slowest_order = self.slowest_order.max(self.now - at);
+        }
+    }
+
+    fn send(&mut self, machine: usize, to: NodeId, body: &Body) {
+        let Some(to) = self.machines.iter().position(|other| other.id == to) else { return };
+        let now = self.now;
+        let Some(pipe) = self.pipes.get_mut(&(machine, to)).filter(|pipe| pipe.open) else { return };
+        if is_heartbeat(body) {
+            pipe.heartbeats.push_back(now);
+        }
+        let message = self.encoder.message(body);
+        pipe.queue.push(Lane::of(body), message, MAXIMUM_QUEUED).expect("the link stays open");
+        self.send_packet(machine);
+    }
+
+    fn plan(&mut self, delay: u64, happening: Happening) {
+        self.sequence += 1;
+        self.queue.push(Reverse((self.now + delay, self.sequence, happening)));
+    }
+
+    /// Sends an order of so many bytes to the primary; says whether there was one.
+    pub fn propose(&mut self, bytes: usize) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        let order = self.next_order;
+        self.next_order += 1;
+        self.under_way = Some((order, self.now));
+        self.handle(leader, Event::Propose { order, payload: vec![order as u8; bytes] });
+        true
+    }
+
+    /// Sends orders one after the other, until so many more are acknowledged.
+    pub fn change(&mut self, count: u64, bytes: usize) {
+        let goal = self.acknowledged + count;
+        let end = self.now + 600_000_000;
+        while self.acknowledged < goal {
+            assert!(self.now < end, "{} of {goal} changes in ten minutes", self.acknowledged);
+            if self.under_way.is_none() && !self.propose(bytes) {
+                self.run_for(10);
+                continue;
+            }
+            self.run_until(20_000, |world| world.under_way.is_none());
+        }
+    }
+
+    /// Whether no order is under way.
+    pub fn is_idle(&self) -> bool {
+        self.under_way.is_none()
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |machine: &usize| matches!(self.role(*machine), Some(Role::Primary { lease: true, .. }));
+        (0..self.machines.len()).find(leads)
+    }
+
+    fn role(&self, machine: usize) -> Option<Role> {
+        let slot = &self.machines[machine];
+        let now = Duration::from_micros(self.now - slot.started_at);
+        slot.replica.as_ref().map(|replica| replica.role(now))
+    }
+
+    /// The machines in the view of the primary.
+    pub fn members(&self) -> Vec<usize> {
+        let replica = self.leader().and_then(|leader| self.machines[leader].replica.as_ref());
+        let Some(view) = replica.and_then(Replica::view) else { return Vec::new() };
+        let is_member = |machine: &usize| {
+            let id = self.machines[*machine].id;
+            view.primary == id || view.backups.contains(&id)
+        };
+        (0..self.machines.len()).filter(is_member).collect()
+    }
+
+    /// The epoch of the primary's view.
+    pub fn view_epoch(&self) -> u64 {
+        let replica = self.leader().and_then(|leader| self.machines[leader].replica.as_ref());
+        replica.and_then(Replica::view).map_or(0, |view| view.epoch)
+    }
+
+    /// How many orders a machine has applied.
+    pub fn count(&self, machine: usize) -> u64 {
+        self.machines[machine].replica.as_ref().map_or(0, |replica| replica.state().count)
+    }
+}
+
+fn is_heartbeat(body: &Body) -> bool {
+    matches!(body, Body::LeaseRequest(_) | Body::LeaseGrant(_))
+}
--- a/crates/replication/src/formation.rs
+++ b/crates/replication/src/formation.rs
@@ -229,6 +229,8 @@
         }
         self.check_sync();
         self.advance_commit();
+        self.let_in_before_orders(from);
+        self.append_waiting();
     }
 
     /// Whether the log of the replicator's epoch is being sent: not while a new epoch is being promised.
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -10,6 +10,7 @@
 //! - A node is its address and the incarnation of its disk. A wiped disk is another node, which has promised
 //!   nothing and is let in like any new one.
 
+mod catch_up;
 mod cover;
 mod disk;
 mod election;
--- a/crates/replication/src/member.rs
+++ b/crates/replication/src/member.rs
@@ -64,7 +64,8 @@
 
     pub(crate) fn on_install(&mut self, from: NodeId, install: Install) {
         let Install { epoch, snapshot_last, snapshot, entries } = install;
-        if !self.admit_writer(from, epoch) {
+        // A whole state for a disk that does not answer would only pile up in memory.
+        if !self.admit_writer(from, epoch) || !self.disk.is_usable(self.now) {
             return;
         }
         let last = entries.last().map_or(snapshot_last, position);
@@ -73,7 +74,11 @@
             self.verify(epoch, last.index);
         }
         let installed = Body::Installed(Box::new(Installed { epoch, last, ok }));
-        self.send_once_durable(from, installed);
+        if self.options.faults.install_before_complete {
+            self.send(from, installed);
+        } else {
+            self.send_once_durable(from, installed);
+        }
     }
 
     pub(crate) fn on_fetch_state(&mut self, from: NodeId, fetch: FetchState) {
@@ -148,7 +153,8 @@
         let applied_entries = self.applied.index - self.log.base().index;
         let too_long = applied_entries > self.options.compact_entries as u64;
         let too_big = applied_entries > 0 && self.log.bytes() > self.options.compact_bytes;
-        if self.disk.is_healthy() && (too_long || too_big) {
+        // A node that is about to be let in needs the last entries; no others follow meanwhile.
+        if self.disk.is_healthy() && (too_long || too_big) && !self.waits_for_joiner() {
             self.log.compact(self.applied);
             self.disk.write(Write::Compact { last: self.applied, snapshot: self.state.snapshot() });
         }
--- a/crates/replication/src/options.rs
+++ b/crates/replication/src/options.rs
@@ -83,6 +83,8 @@
     pub elect_from_stale_snapshot: bool,
     /// Whoever leads answers what is in force, without a look at its lease at that moment.
     pub answer_without_lease_check: bool,
+    /// A member tells that a state is installed before all of it is on its disk.
+    pub install_before_complete: bool,
 }
 
 /// What a replica finds on its disk.
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -20,7 +20,7 @@
 }
 
 #[derive(Clone, Debug)]
-struct WaitingOrder {
+pub(crate) struct WaitingOrder {
     order: u64,
     payload: Vec<u8>,
 }
@@ -39,7 +39,7 @@
     /// Orders in the log whose fate is open.
     pending: VecDeque<PendingOrder>,
     /// Orders that came during a view change.
-    waiting: VecDeque<WaitingOrder>,
+    pub waiting: VecDeque<WaitingOrder>,
 }
 
 impl Leadership {
@@ -150,6 +150,7 @@
         if self.change.is_none() {
             self.pump();
             self.advance_commit();
+            self.append_waiting();
         }
     }
 
@@ -237,9 +238,9 @@
         self.append_waiting();
     }
 
-    /// Appends the orders that came, unless a view change is under way.
-    fn append_waiting(&mut self) {
-        if self.change.is_some() {
+    /// Appends the orders that came, unless a view change is under way or a node is about to be let in.
+    pub(crate) fn append_waiting(&mut self) {
+        if self.change.is_some() || self.waits_for_joiner() {
             return;
         }
         let Some(leadership) = &mut self.leadership else { return };
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -1,6 +1,6 @@
 //! How far each node has the log of the epoch in which this node writes.
 
-use quillpulley_wire::{Append, Body, Install, NodeId, Position};
+use quillpulley_wire::{Append, Body, Entry, Install, NodeId, Position};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -12,10 +12,12 @@
 const RESEND: Duration = Duration::from_millis(300);
 /// How long a node that has declined is left alone.
 const PAUSE: Duration = Duration::from_millis(500);
-/// What a message may take beyond that, for its size.
-pub(crate) const TIME_PER_MB: Duration = Duration::from_millis(300);
+/// What a message may take beyond that, for its size: several receivers share a link, and a disk may be slow.
+pub(crate) const TIME_PER_MB: Duration = Duration::from_millis(600);
 /// The most bytes of entries in one message, if there is more than one.
 const BATCH_BYTES: usize = 1024 * 1024;
+/// The most bytes of entries that are sent to a node of which it isn't known whether it has what comes before.
+const TRIED_BYTES: usize = 64 * 1024;
 
 #[derive(Clone, Copy, Debug)]
 struct Flight {
@@ -56,6 +58,11 @@
         }
     }
 
+    /// The position up to which the node has durably what the log has.
+    pub fn acked(&self) -> Option<Position> {
+        self.acked
+    }
+
     /// The index up to which the node has durably what the log has.
     pub fn acked_index(&self) -> Option<u64> {
         self.acked.map(|position| position.index)
@@ -82,7 +89,13 @@
 /// What goes to a node next.
 enum Step {
     Nothing,
-    Append { previous: Position },
+    Append {
+        previous: Position,
+    },
+    /// It may lack what comes before.
+    Try {
+        previous: Position,
+    },
     Install,
 }
 
@@ -147,10 +160,15 @@
             Step::Nothing => return None,
             Step::Append { previous } => {
                 let entries = log.batch_after(previous.index, BATCH_BYTES);
-                let end = entries.last().map_or(previous.index, |entry| entry.index);
-                let bytes = payload_bytes(&entries);
-                let append = Append { epoch, previous, entries, committed: applied.index };
-                (Body::Append(Box::new(append)), end, bytes)
+                append(epoch, previous, entries, applied)
+            }
+            Step::Try { previous } => {
+                let mut entries = log.batch_after(previous.index, BATCH_BYTES);
+                if payload_bytes(&entries) > TRIED_BYTES {
+                    // The answer to none tells what it has.
+                    entries.clear();
+                }
+                append(epoch, previous, entries, applied)
             }
             Step::Install => {
                 let entries = log.after(applied.index);
@@ -197,6 +215,14 @@
     }
 }
 
+/// A message with entries, the index at which they end, and their bytes.
+fn append(epoch: u64, previous: Position, entries: Vec<Entry>, applied: Position) -> (Body, u64, usize) {
+    let end = entries.last().map_or(previous.index, |entry| entry.index);
+    let bytes = payload_bytes(&entries);
+    let append = Append { epoch, previous, entries, committed: applied.index };
+    (Body::Append(Box::new(append)), end, bytes)
+}
+
 impl Progress {
     fn next_step(&self, now: Duration, log: &Log, applied: Position) -> Step {
         if now < self.paused_until {
@@ -216,7 +242,7 @@
             Some(acked) if log.contains(acked) => Step::Append { previous: acked },
             Some(_) => Step::Install,
             None if log.contains(self.guess) => Step::Append { previous: self.guess },
-            None if log.contains(applied) => Step::Append { previous: applied },
+            None if log.contains(applied) => Step::Try { previous: applied },
             None => Step::Install,
         }
     }
--- a/crates/replication/src/reconfiguration.rs
+++ b/crates/replication/src/reconfiguration.rs
@@ -93,13 +93,12 @@
     }
 
     /// Whether a node that is no member has the log, or can get it only under a higher epoch.
-    fn is_ready(&self, node: NodeId) -> bool {
+    pub(crate) fn is_ready(&self, node: NodeId) -> bool {
         let Some(replicator) = &self.replicator else { return false };
         let refuses = self.peers.get(node).is_some_and(|peer| peer.refuses);
         let is_counted_early = self.options.faults.count_joiner_early;
-        refuses
-            || is_counted_early
-            || replicator.acked_index(node).is_some_and(|index| index >= self.applied.index)
+        let has_log = replicator.acked_index(node).is_some_and(|index| index >= self.applied.index);
+        refuses || is_counted_early || has_log && !self.is_catching_up(node)
     }
 
     /// Whether a node of the view has promised an epoch to another, and so takes nothing from this one.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -155,6 +155,11 @@
         self.applied.index
     }
 
+    /// Bytes of the entries that it keeps in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// What the replica is at this moment.
     pub fn role(&self, now: Duration) -> Role {
         if let Some(leadership) = &self.leadership {
--- a/crates/replication/tests/replication/broken.rs
+++ b/crates/replication/tests/replication/broken.rs
@@ -3,7 +3,7 @@
 use quillpulley_replication::Faults;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
-use crate::harness::WorldOptions;
+use crate::harness::{DiskMode, World, WorldOptions};
 use crate::random::{check, Schedule};
 use crate::scenarios::{operators, Settled};
 use crate::seeded;
@@ -60,6 +60,42 @@
     assert!(first_failure(&options).is_some());
 }
 
+//    C was away for so long that it gets the whole state, in an election. Its disk stands still before it has that.
+//    B, which has the state, comes up only now. The new view may be P and C only once C has stored all.
+fn election_with_an_installation(seed: u64, faults: Faults) {
+    let mut world = World::first_start(WorldOptions { seed, faults, ..WorldOptions::default() }, 3, 3);
+    assert!(world.run_until(6000, |world| world.members().len() == 3));
+    let primary = world.leader().expect("a primary");
+    let (backup, away) = ((primary + 1) % 3, (primary + 2) % 3);
+    world.kill(away, false);
+    for _ in 0..30 {
+        let order = world.propose(primary);
+        assert!(world.run_until(3000, |world| world.is_acknowledged(order)));
+    }
+    world.kill(primary, false);
+    world.kill(backup, false);
+    world.start(primary);
+    world.start(away);
+    assert!(world.run_until(4000, |world| world.is_installing(away)));
+    world.set_disk(away, DiskMode::Hangs);
+    world.start(backup);
+    world.run_for(1000);
+}
+
+#[test]
+fn an_installation_that_counts_before_it_is_complete_is_caught() {
+    let broken = Faults { install_before_complete: true, ..Faults::default() };
+    let is_caught = |seed| {
+        let play = AssertUnwindSafe(|| election_with_an_installation(seed, broken));
+        let Err(panic) = catch_unwind(play) else { return false };
+        let message = panic.downcast_ref::<String>().cloned().unwrap_or_default();
+        println!("seed {seed}: {message}");
+        message.contains("lost") || message.contains("lacks")
+    };
+    assert!((0..40).any(is_caught));
+    (0..40).for_each(|seed| election_with_an_installation(seed, Faults::default()));
+}
+
 #[test]
 fn an_answer_before_the_sync_is_caught() {
     let options = with_faults(Faults { answer_before_sync: true, ..Faults::default() });
--- a/crates/replication/tests/replication/harness/inspect.rs
+++ b/crates/replication/tests/replication/harness/inspect.rs
@@ -56,6 +56,11 @@
         self.machines[machine].replica.as_ref().is_some_and(Replica::may_end)
     }
 
+    /// Whether a machine is storing a whole state.
+    pub fn is_installing(&self, machine: usize) -> bool {
+        matches!(self.machines[machine].write, Some((_, quillpulley_replication::Write::Install { .. })))
+    }
+
     pub fn is_running(&self, machine: usize) -> bool {
         self.machines[machine].replica.is_some()
     }
