--- a/crates/storage/tests/crashes.rs
+++ b/crates/storage/tests/crashes.rs
@@ -370,3 +370,30 @@
         }
     }
 }
+
+//    install 4, 5-7      | fails or loses power at any step
+//    install 30          | a newer one comes, and fails as well at any step
+//    killed or powerless | one of the three states counts, whole
+#[test]
+fn an_installation_that_follows_an_incomplete_one_counts_as_a_whole_or_not_at_all() {
+    let faults = [Fault::PowerOut, Fault::Error, Fault::Full, Fault::NoSpace];
+    for (first, second) in faults.iter().flat_map(|first| faults.map(|second| (*first, second))) {
+        for (after, then) in (0..10).flat_map(|after| (0..10).map(move |then| (after, then))) {
+            let calm = |operation| Step { operation, fault: None };
+            let append = || calm(Operation::Append { back: 0, known: 0, new: 2 });
+            let seed = (after * 10 + then) as u64;
+            let last = if seed.is_multiple_of(2) { Operation::Kill } else { Operation::LosePower };
+            survives(Day {
+                seed,
+                steps: vec![
+                    append(),
+                    Step { operation: Operation::Install { index: 4, new: 3 }, fault: Some((first, after)) },
+                    Step { operation: Operation::Install { index: 30, new: 0 }, fault: Some((second, then)) },
+                    calm(last),
+                    append(),
+                    Step { operation: Operation::Compact { place: 1 }, fault: Some((first, then)) },
+                ],
+            });
+        }
+    }
+}
--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -185,3 +185,39 @@
         true
     }
 }
+
+//    compacted at 3, 12 and 20; the last snapshot is gone, and the first came back
+#[test]
+fn a_log_that_begins_after_the_snapshots_end_is_an_error() {
+    let disk = filled();
+    let (mut storage, _) = open(&disk);
+    storage.compact(at(1, 3), b"three").expect("compacted");
+    let first = disk.read("snapshot-000000-000000000003.snapshot");
+    storage.compact(at(1, 12), b"twelve").expect("compacted");
+    storage.append(&entries(2, 13, 13)).expect("appended");
+    for index in 14..=20 {
+        storage.append(&entries(2, index, index)).expect("appended");
+    }
+    storage.compact(at(2, 20), b"twenty").expect("compacted");
+    drop(storage);
+    disk.remove_durably("snapshot-000000-000000000020.snapshot");
+    disk.make_durably("snapshot-000000-000000000003.snapshot", &first);
+    let text = error(&disk).to_string();
+    assert!(text.contains("empty the data folder"), "{text}");
+}
+
+//    installed at 9 with 10-12, then at 30: that snapshot is gone, the older installation is swept
+#[test]
+fn segments_of_an_installation_without_its_snapshot_never_count() {
+    let disk = Disk::new(1);
+    let (mut storage, _) = open(&disk);
+    storage.append(&entries(1, 1, 4)).expect("appended");
+    storage.install(at(2, 9), b"nine", &entries(2, 10, 12)).expect("installed");
+    storage.install(at(3, 30), b"thirty", &entries(3, 31, 33)).expect("installed");
+    drop(storage);
+    disk.remove_durably("snapshot-000002-000000000030.snapshot");
+    match try_open(&disk) {
+        Ok((_, found)) => assert!(found.snapshot.is_none() && found.entries.is_empty(), "{found:?}"),
+        Err(error) => assert!(error.to_string().contains("data folder"), "{error}"),
+    }
+}
