--- a/crates/replication/tests/replication/harness/inspect.rs
+++ b/crates/replication/tests/replication/harness/inspect.rs
@@ -6,7 +6,7 @@
 
 use super::disk::DiskImage;
 use super::durability::{self, Survivor};
-use super::world::{traces, Machine, World};
+use super::world::{traces, Machine, World, REGION_OF};
 
 /// How long a machine counts as lost after it was replaced.
 const CATCH_UP_MS: u64 = 4000;
@@ -42,6 +42,10 @@
 
     /// Where a machine stands.
     pub fn place_of(&self, machine: usize) -> Place {
+        if self.options.tells_zones {
+            let zone = self.machines[machine].zone;
+            return Place { zone: format!("zone-{zone}"), region: format!("region-{}", REGION_OF[zone]) };
+        }
         let (zone, region) = self.options.places.get(machine).copied().unwrap_or_default();
         Place { zone: zone.into(), region: region.into() }
     }
--- a/crates/replication/tests/replication/harness/world.rs
+++ b/crates/replication/tests/replication/harness/world.rs
@@ -32,6 +32,8 @@
     pub tolerated_regions: usize,
     /// The zone and the region of each machine, by its number; those beyond stand in none.
     pub places: Vec<(&'static str, &'static str)>,
+    /// Machines tell the zone and region in which they stand, see `REGION_OF`.
+    pub tells_zones: bool,
     pub network: NetworkOptions,
     pub faults: Faults,
     pub compact_entries: usize,
@@ -50,6 +52,7 @@
             tolerated_zones: 0,
             tolerated_regions: 0,
             places: Vec::new(),
+            tells_zones: false,
             network,
             faults: Faults::default(),
             compact_entries: 8,
--- a/crates/replication/tests/replication/seeded.rs
+++ b/crates/replication/tests/replication/seeded.rs
@@ -115,8 +115,16 @@
     } else {
         NetworkOptions::default()
     };
-    let options =
-        WorldOptions { seed, network, tolerated: TOLERATED, clock_drift: CLOCK_DRIFT, ..options.clone() };
+    let options = WorldOptions {
+        seed,
+        network,
+        tolerated: TOLERATED,
+        tolerated_zones: 1,
+        tolerated_regions: 1,
+        tells_zones: true,
+        clock_drift: CLOCK_DRIFT,
+        ..options.clone()
+    };
     World::first_start(options, MACHINES, SEEDS_OF_SYSTEM)
 }
 
