Undo the circle of host, leadership and links by types that all of them know

host.rs, leadership.rs and links.rs each were parts of one type with access to everything. Now the links tell what happened as LinkNews, the node of the relay tree (tree.rs) and the leadership work on what they are handed, and only the host knows them all; status.rs, which had come into the circle, takes what it describes (knowledge.rs). The view of the directory goes with the tree, whose changes it follows. The reading of the platform's list, the seeds and the parts of a host have modules of their own.

--- a/crates/quillpulley/src/control/leadership.rs
+++ b/crates/quillpulley/src/control/leadership.rs
@@ -1,121 +1,167 @@
 //! What the primary does while it holds the lease: it is the root of the relay tree and publishes.
 
-use super::host::Host;
+use super::links::Links;
 use super::platform::Reading;
 use super::publisher::{core_changes, state_changes, Publisher};
+use super::tree::Tree;
+use quillpulley_configuration::ControlState;
 use quillpulley_feed::{Change, Event};
-use quillpulley_replication::Role;
 use std::time::Duration;
 
 /// How often a stamp is published at least.
 const STAMP_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The leadership of the primary.
-pub(super) struct Leadership {
-    pub publisher: Publisher,
+/// What has become of the leadership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// It is as it was.
+    Same,
+    /// This process leads from now on, or in a later epoch.
+    Assumed,
+    /// This process leads no longer.
+    SteppedDown,
+}
+
+/// What has changed since it was last published, apart from the reports of the tree.
+#[derive(Debug, Default)]
+struct Unpublished {
+    state: bool,
+    cores: bool,
+}
+
+struct Term {
+    publisher: Publisher,
     epoch: u64,
     stamped_at: Duration,
 }
 
-impl Host {
-    /// Takes or gives up the leadership as the replica and its lease say.
-    pub(super) fn update_leadership(&mut self, now: Duration) {
-        let epoch = match self.replica.role(now) {
-            Role::Primary { epoch, lease: true } => Some(epoch),
-            _ => None,
-        };
-        match (&self.leadership, epoch) {
-            (None, Some(epoch)) => self.assume_leadership(now, epoch),
-            (Some(_), None) => self.step_down(now),
-            (Some(leadership), Some(epoch)) if leadership.epoch != epoch => {
-                self.assume_leadership(now, epoch)
+/// The leadership of a process, if it is the primary and holds the lease.
+#[derive(Default)]
+pub struct Leadership {
+    term: Option<Term>,
+    unpublished: Unpublished,
+}
+
+impl Leadership {
+    /// Whether this process leads.
+    pub fn leads(&self) -> bool {
+        self.term.is_some()
+    }
+
+    /// How many servers are published, if this process leads.
+    pub fn server_count(&self) -> usize {
+        self.term.as_ref().map_or(0, |term| term.publisher.server_count())
+    }
+
+    /// The committed state has changed.
+    pub fn state_changed(&mut self) {
+        self.unpublished.state = true;
+    }
+
+    /// The known core processes have changed.
+    pub fn cores_changed(&mut self) {
+        self.unpublished.cores = true;
+    }
+
+    /// Takes or gives up the leadership: this process leads in `epoch`, or does not lead.
+    pub fn update(
+        &mut self,
+        now: Duration,
+        epoch: Option<u64>,
+        state: &ControlState,
+        tree: &mut Tree,
+        links: &mut Links,
+    ) -> Turn {
+        if epoch == self.term.as_ref().map(|term| term.epoch) {
+            return Turn::Same;
+        }
+        let before = self.term.take();
+        match epoch {
+            Some(epoch) => {
+                log::info!("is the primary of epoch {epoch}");
+                self.assume(now, epoch, before, tree);
+                tree.become_root(epoch, links);
+                let changes = self.collect(now, state, tree, links);
+                tree.take(Event::Publish(changes), links);
+                Turn::Assumed
+            }
+            None => {
+                log::info!("is no longer the primary");
+                tree.leave_root(links);
+                Turn::SteppedDown
             }
-            _ => {}
         }
     }
 
     /// The first stamp of an epoch is published together with all that the root before has left out.
-    fn assume_leadership(&mut self, now: Duration, epoch: u64) {
-        log::info!("is the primary of epoch {epoch}");
-        let publisher = match self.leadership.take() {
-            Some(leadership) => leadership.publisher,
-            None => Publisher::take_over(now, self.feed.store()),
+    fn assume(&mut self, now: Duration, epoch: u64, before: Option<Term>, tree: &mut Tree) {
+        let publisher = match before {
+            Some(before) => before.publisher,
+            None => Publisher::take_over(now, tree.store()),
         };
-        self.leadership = Some(Leadership { publisher, epoch, stamped_at: now });
-        self.reader.reset(now);
-        self.relay.become_root();
-        self.feed_event(Event::BecomeRoot { epoch });
-        self.dirty.state = true;
-        self.dirty.cores = true;
-        self.dirty.reports = true;
-        let changes = self.collect_changes(now);
-        self.feed_event(Event::Publish(changes));
+        self.term = Some(Term { publisher, epoch, stamped_at: now });
+        self.unpublished = Unpublished { state: true, cores: true };
+        tree.changes.reports = true;
     }
 
-    fn step_down(&mut self, now: Duration) {
-        log::info!("is no longer the primary");
-        self.leadership = None;
-        self.feed_event(Event::LeaveRoot);
-        for node in self.relay.leave_root() {
-            self.feed_event(Event::ChildDown(super::host::Child::Core(node)));
+    /// Publishes what has changed and takes in children, if this process leads.
+    pub fn publish_changes(
+        &mut self,
+        now: Duration,
+        state: &ControlState,
+        tree: &mut Tree,
+        links: &mut Links,
+    ) {
+        if self.leads() {
+            let changes = self.collect(now, state, tree, links);
+            self.publish(now, changes, tree, links);
+            tree.adopt_children(links);
         }
-        let elsewhere = self.elsewhere(now);
-        self.orders.abandon(elsewhere.decided());
-        self.send_answers(elsewhere.valid_until());
     }
 
-    /// Publishes what has changed, if this process leads.
-    pub(super) fn publish_changes(&mut self, now: Duration) {
-        if self.leadership.is_some() {
-            let changes = self.collect_changes(now);
-            self.publish(now, changes);
-            self.adopt_children();
-        }
-    }
-
-    fn collect_changes(&mut self, now: Duration) -> Vec<Change> {
-        let cores = std::mem::take(&mut self.dirty.cores).then(|| self.known_cores());
-        let store = self.feed.store();
+    fn collect(
+        &mut self,
+        now: Duration,
+        state: &ControlState,
+        tree: &mut Tree,
+        links: &Links,
+    ) -> Vec<Change> {
+        let Some(term) = &mut self.term else { return Vec::new() };
         let mut changes = Vec::new();
-        if std::mem::take(&mut self.dirty.state) {
-            changes.extend(state_changes(store, self.replica.state()));
+        if std::mem::take(&mut self.unpublished.state) {
+            changes.extend(state_changes(tree.store(), state));
         }
-        if let Some(cores) = cores {
-            changes.extend(core_changes(store, cores));
+        if std::mem::take(&mut self.unpublished.cores) {
+            changes.extend(core_changes(tree.store(), links.known_cores()));
         }
-        if let Some(leadership) = self.leadership.as_mut().filter(|_| std::mem::take(&mut self.dirty.reports))
-        {
-            changes.extend(leadership.publisher.report(now, self.feed.subtree()));
+        if std::mem::take(&mut tree.changes.reports) {
+            changes.extend(term.publisher.report(now, tree.subtree()));
         }
         changes
     }
 
-    /// Publishes a complete reading of the platform's list.
-    pub(super) fn publish_list(&mut self, now: Duration, reading: Reading) {
-        let Some(leadership) = &mut self.leadership else { return };
-        let changes = leadership.publisher.read_list(now, reading);
-        self.publish(now, changes);
+    /// Publishes a complete reading of the platform's list, if this process leads.
+    pub fn publish_list(&mut self, now: Duration, reading: Reading, tree: &mut Tree, links: &mut Links) {
+        let Some(term) = &mut self.term else { return };
+        let changes = term.publisher.read_list(now, reading);
+        self.publish(now, changes, tree, links);
     }
 
-    /// Publishes what time alone has changed, or else at least a stamp.
-    pub(super) fn tick_leadership(&mut self, now: Duration) {
-        let Some(leadership) = &mut self.leadership else { return };
-        let changes = leadership.publisher.tick(now);
-        self.publish(now, changes);
-        let is_due = |leadership: &&mut Leadership| now >= leadership.stamped_at + STAMP_INTERVAL;
-        if let Some(leadership) = self.leadership.as_mut().filter(is_due) {
-            leadership.stamped_at = now;
-            self.feed_event(Event::Stamp);
+    /// Publishes what time alone has changed, or else at least a stamp, if this process leads.
+    pub fn tick(&mut self, now: Duration, tree: &mut Tree, links: &mut Links) {
+        let Some(term) = &mut self.term else { return };
+        let changes = term.publisher.tick(now);
+        self.publish(now, changes, tree, links);
+        let is_due = |term: &&mut Term| now >= term.stamped_at + STAMP_INTERVAL;
+        if let Some(term) = self.term.as_mut().filter(is_due) {
+            term.stamped_at = now;
+            tree.take(Event::Stamp, links);
         }
     }
 
-    fn publish(&mut self, now: Duration, changes: Vec<Change>) {
-        if changes.is_empty() {
-            return;
-        }
-        if let Some(leadership) = &mut self.leadership {
-            leadership.stamped_at = now;
-            self.feed_event(Event::Publish(changes));
-        }
+    fn publish(&mut self, now: Duration, changes: Vec<Change>, tree: &mut Tree, links: &mut Links) {
+        let Some(term) = self.term.as_mut().filter(|_| !changes.is_empty()) else { return };
+        term.stamped_at = now;
+        tree.take(Event::Publish(changes), links);
     }
 }
--- a/crates/quillpulley/src/control/links.rs
+++ b/crates/quillpulley/src/control/links.rs
@@ -1,235 +1,202 @@
-//! The links of a core process: what comes on them, and what the relay tree sends.
-
-use super::host::{Child, Host};
-use super::peer_table::PeerChange;
-use super::relay::{ChildFrame, ParentChange};
-use crate::peer::{LinkId, PeerEvent};
-use quillpulley_feed as feed;
-use quillpulley_replication::{Event, Place};
-use quillpulley_wire::{Body, Cores, Hello, NodeId, PeerKind};
+//! The links of a core process: which other core processes and agents are there, and what comes from them.
+//!
+//! What happens is told as [`LinkNews`]; what it means for the replica and the relay tree is the host's to say.
+
+use super::peer_table::{PeerChange, PeerTable};
+use crate::peer::{LinkId, PeerEvent, Peers};
+use quillpulley_replication::Place;
+use quillpulley_wire::{Body, Core, Cores, Hello, NodeId, PeerKind};
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
-impl Host {
-    /// Something happened on a link.
-    pub fn peer_event(&mut self, event: PeerEvent) {
-        let now = self.clock.now();
+/// What happened on the links.
+#[derive(Debug)]
+pub enum LinkNews {
+    /// Messages can be sent to a core process, which is at this place.
+    Connected(NodeId, Place),
+    /// Nothing more can be sent to a core process.
+    Disconnected(NodeId),
+    /// Nothing more comes from a core process.
+    Silenced(NodeId),
+    /// A core process sends this.
+    FromCore(NodeId, Body),
+    /// An agent has connected.
+    AgentUp(LinkId),
+    /// An agent has gone.
+    AgentDown(LinkId),
+    /// An agent sends this.
+    FromAgent(LinkId, Body),
+}
+
+/// The links of a core process.
+pub struct Links {
+    me: Core,
+    peers: Rc<Peers>,
+    table: PeerTable<LinkId>,
+    agents: BTreeSet<LinkId>,
+    /// The core processes that the others were told of last.
+    told: Vec<u32>,
+}
+
+impl Links {
+    /// The links of the process that describes itself as `me`; none is open yet.
+    pub fn new(me: Core, peers: Rc<Peers>) -> Self {
+        let table = PeerTable::new(Ipv4Addr::from_bits(me.ip));
+        Links { me, peers, table, agents: BTreeSet::new(), told: Vec::new() }
+    }
+
+    /// Takes an event and says what it means.
+    pub fn take(&mut self, now: Duration, event: PeerEvent) -> Vec<LinkNews> {
         match event {
-            PeerEvent::Opened { link, hello, incoming: true, .. } => self.accepted(now, link, hello),
-            PeerEvent::Opened { link, hello, incoming: false, .. } => self.opened(link, hello),
-            PeerEvent::Frame { link, body } => self.frame(now, link, body),
+            PeerEvent::Opened { link, hello, incoming: true, .. } => {
+                self.accepted(now, link, hello).into_iter().collect()
+            }
+            PeerEvent::Opened { link, hello, incoming: false, .. } => {
+                self.opened(link, hello).into_iter().collect()
+            }
+            PeerEvent::Frame { link, body } => self.frame(now, link, body).into_iter().collect(),
             PeerEvent::Closed { link } | PeerEvent::ConnectFailed { link } => self.closed(now, link),
         }
-        self.settle();
     }
 
-    fn accepted(&mut self, now: Duration, link: LinkId, hello: Hello) {
+    fn accepted(&mut self, now: Duration, link: LinkId, hello: Hello) -> Option<LinkNews> {
         match hello.kind {
             PeerKind::Control if hello.node.ip != self.me.ip => {
-                for given_up in self.peer_table.accepted(now, link, hello.node) {
+                for given_up in self.table.accepted(now, link, hello.node) {
                     self.peers.close(given_up);
                 }
+                None
             }
             PeerKind::Agent => {
                 self.agents.insert(link);
-                self.feed_event(feed::Event::ChildUp(Child::Agent(link)));
+                Some(LinkNews::AgentUp(link))
+            }
+            PeerKind::Control | PeerKind::Proxy => {
+                self.peers.close(link);
+                None
             }
-            PeerKind::Control | PeerKind::Proxy => self.peers.close(link),
         }
     }
 
-    fn opened(&mut self, link: LinkId, hello: Hello) {
+    fn opened(&mut self, link: LinkId, hello: Hello) -> Option<LinkNews> {
         let place = Place { zone: hello.zone.clone(), region: hello.region.clone() };
-        let Some(PeerChange::Connected(node)) = self.peer_table.opened(link, hello) else {
-            return self.peers.close(link);
+        let Some(PeerChange::Connected(node)) = self.table.opened(link, hello) else {
+            self.peers.close(link);
+            return None;
         };
         log::debug!("connected to {node}");
-        self.dirty.cores = true;
         self.tell_cores(Some(link));
-        self.replicate(Event::Located { node, place });
-        self.replicate(Event::Connected(node));
+        Some(LinkNews::Connected(node, place))
     }
 
-    fn closed(&mut self, now: Duration, link: LinkId) {
+    fn closed(&mut self, now: Duration, link: LinkId) -> Vec<LinkNews> {
+        let mut news = Vec::new();
         if self.agents.remove(&link) {
-            self.feed_event(feed::Event::ChildDown(Child::Agent(link)));
-        }
-        if let Some(node) = self.peer_table.sender(link) {
-            self.core_child_lost(node);
+            news.push(LinkNews::AgentDown(link));
         }
-        if let Some(PeerChange::Disconnected(node)) = self.peer_table.closed(now, link, fastrand::f64()) {
+        news.extend(self.table.sender(link).map(LinkNews::Silenced));
+        if let Some(PeerChange::Disconnected(node)) = self.table.closed(now, link, fastrand::f64()) {
             log::debug!("disconnected from {node}");
-            self.core_child_lost(node);
             self.tell_cores(None);
-            self.replicate(Event::Disconnected(node));
+            news.push(LinkNews::Disconnected(node));
         }
+        news
     }
 
-    fn core_child_lost(&mut self, node: NodeId) {
-        if self.relay.lost(node) {
-            self.feed_event(feed::Event::ChildDown(Child::Core(node)));
-        }
-    }
-
-    fn frame(&mut self, now: Duration, link: LinkId, body: Body) {
-        if let Some(node) = self.peer_table.sender(link) {
-            self.core_frame(now, node, body);
-        } else if self.agents.contains(&link) {
-            self.feed_event(feed::Event::ChildFrame(Child::Agent(link), body));
-        }
-    }
-
-    fn core_frame(&mut self, now: Duration, node: NodeId, body: Body) {
+    fn frame(&mut self, now: Duration, link: LinkId, body: Body) -> Option<LinkNews> {
+        let Some(node) = self.table.sender(link) else {
+            return self.agents.contains(&link).then_some(LinkNews::FromAgent(link, body));
+        };
         match body {
             Body::Cores(cores) => {
-                for address in cores.addresses {
-                    self.peer_table.learn(now, Ipv4Addr::from_bits(address));
-                }
-            }
-            Body::Subscribe(_) | Body::Report(_) => {
-                if let ChildFrame::Take(body) = self.relay.child_frame(node, body) {
-                    self.feed_event(feed::Event::ChildFrame(Child::Core(node), body));
-                }
-            }
-            Body::Update(_) | Body::Totals(_) => {
-                if self.relay.parent() == Some(node) {
-                    self.feed_event(feed::Event::ParentFrame(body));
-                }
+                self.learn(now, cores.addresses.into_iter().map(Ipv4Addr::from_bits));
+                None
             }
-            Body::Hello(_) | Body::Ping(_) | Body::PingAck(_) => {}
-            body => self.replicate(Event::Message { from: node, body }),
+            Body::Hello(_) | Body::Ping(_) | Body::PingAck(_) => None,
+            body => Some(LinkNews::FromCore(node, body)),
         }
     }
 
-    /// Has the node of the relay tree take an event, and does what it asks for.
-    pub(super) fn feed_event(&mut self, event: feed::Event<Child>) {
-        let mut actions = Vec::new();
-        self.feed.handle(self.clock.now(), event, &mut actions);
-        for action in actions {
-            self.perform_feed(action);
+    /// Sends a message to a core process, if it can be reached.
+    pub fn send_core(&self, node: NodeId, body: &Body) {
+        if let Some(link) = self.table.link_to(node) {
+            self.peers.send(link, body);
         }
     }
 
-    fn perform_feed(&mut self, action: feed::Action<Child>) {
-        match action {
-            feed::Action::SendParent(body) => {
-                if let Some(link) = self.relay.parent().and_then(|parent| self.peer_table.link_to(parent)) {
-                    self.peers.send(link, &body);
-                }
-            }
-            feed::Action::SendChild(child, body) => self.send_child(child, &body),
-            feed::Action::SendChildren(children, body) => {
-                for child in children {
-                    self.send_child(child, &body);
-                }
-            }
-            feed::Action::DropChild(child) => self.drop_child(child),
-            feed::Action::Changed(changed) => {
-                self.dirty.directory |= self.directory_view.published(&changed);
-            }
-            feed::Action::TotalsChanged => {}
-            feed::Action::FrontsChanged => {
-                self.dirty.reports = true;
-                self.dirty.directory = true;
-            }
-        }
+    /// Sends a message to an agent.
+    pub fn send_agent(&self, link: LinkId, body: &Body) {
+        self.peers.send(link, body);
     }
 
-    fn send_child(&mut self, child: Child, body: &Body) {
-        let link = match child {
-            Child::Core(node) => self.peer_table.link_to(node),
-            Child::Agent(link) => Some(link),
-        };
-        if let Some(link) = link {
-            self.peers.send(link, body);
-        }
+    /// Closes the link of an agent.
+    pub fn drop_agent(&mut self, link: LinkId) {
+        self.agents.remove(&link);
+        self.peers.close(link);
     }
 
-    /// A core process that is dropped notices that nothing new comes, and applies again.
-    fn drop_child(&mut self, child: Child) {
-        match child {
-            Child::Core(node) => drop(self.relay.lost(node)),
-            Child::Agent(link) => {
-                self.agents.remove(&link);
-                self.peers.close(link);
-            }
-        }
+    /// Whether messages can be sent to a core process.
+    pub fn sends_to(&self, node: NodeId) -> bool {
+        self.table.link_to(node).is_some()
     }
 
-    /// Chooses the parent in the relay tree.
-    pub(super) fn update_parent(&mut self, now: Duration) {
-        if self.leadership.is_some() {
-            return;
-        }
-        let primary = self.replica.primary_hint(now).filter(|primary| *primary != self.me);
-        let peer_table = &self.peer_table;
-        let is_reachable = |node| peer_table.link_to(node).is_some() && peer_table.receives_from(node);
-        match self.relay.choose_parent(now, primary, self.feed.last_moved(), is_reachable) {
-            Some(ParentChange::Up) => self.feed_event(feed::Event::ParentUp),
-            Some(ParentChange::Down) => self.feed_event(feed::Event::ParentDown),
-            None => {}
-        }
+    /// Whether messages can be sent to a core process and can come from it.
+    pub fn exchanges_with(&self, node: NodeId) -> bool {
+        self.sends_to(node) && self.table.receives_from(node)
     }
 
-    /// Takes in the core processes that have applied to this process, which is the root.
-    pub(super) fn adopt_children(&mut self) {
-        let peer_table = &self.peer_table;
-        for (node, frames) in self.relay.adopt(|node| peer_table.link_to(node).is_some()) {
-            self.feed_event(feed::Event::ChildUp(Child::Core(node)));
-            for frame in frames {
-                self.feed_event(feed::Event::ChildFrame(Child::Core(node), frame));
-            }
-        }
+    /// Whether nothing can be sent to any core process.
+    pub fn is_alone(&self) -> bool {
+        self.table.connected().next().is_none()
     }
 
-    /// Takes note of all core processes that this one should know of.
-    pub(super) fn learn_cores(&mut self, now: Duration) {
-        for address in self.wanted_cores() {
-            self.peer_table.learn(now, address);
-        }
+    /// The core processes that agents should know: this one and those that were reached and are not forgotten.
+    pub fn known_cores(&self) -> Vec<Core> {
+        let others = self.table.known().map(|hello| Core {
+            ip: hello.node.ip,
+            zone: hello.zone.clone(),
+            region: hello.region.clone(),
+        });
+        std::iter::once(self.me.clone()).chain(others).collect()
     }
 
-    /// Forgets the core processes that are gone, and takes note of those in the view.
-    pub(super) fn forget_cores(&mut self, now: Duration) {
-        let in_view = self.cores_in_view();
-        let known_before = self.peer_table.known().count();
-        self.peer_table.forget(now, |address| in_view.contains(&address));
-        self.dirty.cores |= self.peer_table.known().count() != known_before;
-        for address in in_view {
-            self.peer_table.learn(now, address);
+    /// Takes note of core processes; they will be dialled at once.
+    pub fn learn(&mut self, now: Duration, addresses: impl IntoIterator<Item = Ipv4Addr>) {
+        for address in addresses {
+            self.table.learn(now, address);
         }
     }
 
-    fn wanted_cores(&self) -> Vec<Ipv4Addr> {
-        let seeds = self.settings.seeds.iter().filter_map(|seed| match seed {
-            SocketAddr::V4(seed) => Some(*seed.ip()),
-            SocketAddr::V6(_) => None,
-        });
-        seeds.chain(self.cores_in_view()).collect()
-    }
-
-    fn cores_in_view(&self) -> Vec<Ipv4Addr> {
-        self.replica.known_nodes().iter().map(NodeId::address).collect()
+    /// Forgets the core processes that have long been unreachable, except those in the view, which it takes note of.
+    /// Says whether any was forgotten.
+    pub fn keep(&mut self, now: Duration, in_view: &[NodeId]) -> bool {
+        let in_view: Vec<Ipv4Addr> = in_view.iter().map(NodeId::address).collect();
+        let known_before = self.table.known().count();
+        self.table.forget(now, |address| in_view.contains(&address));
+        let has_forgotten = self.table.known().count() != known_before;
+        self.learn(now, in_view);
+        has_forgotten
     }
 
-    /// Dials the core processes that are due.
-    pub(super) fn dial(&mut self, now: Duration) {
-        for address in self.peer_table.due(now) {
-            let port = self.settings.control_port();
+    /// Dials the core processes that are due, at this port.
+    pub fn dial(&mut self, now: Duration, port: u16) {
+        for address in self.table.due(now) {
             let link = self.peers.connect(SocketAddr::from((address, port)));
-            self.peer_table.dialled(address, link);
+            self.table.dialled(address, link);
         }
     }
 
     /// Tells others which core processes can be reached: one whose link has just opened, and all if that
     /// changed.
     fn tell_cores(&mut self, opened: Option<LinkId>) {
-        let addresses: Vec<u32> = self.peer_table.reachable().into_iter().map(Ipv4Addr::to_bits).collect();
-        let changed = addresses != self.told_cores;
+        let addresses: Vec<u32> = self.table.reachable().into_iter().map(Ipv4Addr::to_bits).collect();
+        let changed = addresses != self.told;
         let body = Body::Cores(Box::new(Cores { addresses: addresses.clone() }));
-        for (link, _) in self.peer_table.connected().filter(|(link, _)| changed || Some(*link) == opened) {
+        for (link, _) in self.table.connected().filter(|(link, _)| changed || Some(*link) == opened) {
             self.peers.send(link, &body);
         }
-        self.told_cores = addresses;
+        self.told = addresses;
     }
 }
--- a/crates/quillpulley/src/control/mod.rs
+++ b/crates/quillpulley/src/control/mod.rs
@@ -13,9 +13,12 @@
 pub mod fronts;
 pub mod host;
 pub mod http;
+mod knowledge;
 mod leadership;
 mod links;
+mod list;
 pub mod orders;
+pub mod parts;
 pub mod peer_table;
 pub mod platform;
 pub mod process;
@@ -23,9 +26,11 @@
 pub mod reader;
 pub mod relay;
 pub mod reported;
+mod seeds;
 pub mod servers;
 mod status;
 pub mod timed_answer;
+mod tree;
 
 use crate::{HostError, Settings};
 
--- a/crates/quillpulley/src/control/status.rs
+++ b/crates/quillpulley/src/control/status.rs
@@ -3,26 +3,33 @@
 //! It says what this process knows. Only a primary surely knows the places of all members; another process counts
 //! a node whose place it has not heard as lost with any zone or region.
 
-use super::host::Host;
+use super::knowledge::Knowledge;
+use super::orders::Answer;
+use super::timed_answer::TimedAnswer;
 use quillpulley_replication::{Exposure, Role, ViewExposure};
 use quillpulley_wire::{NodeId, View};
 use simd_json::prelude::Writable;
 use simd_json::{json, OwnedValue};
 use std::time::Duration;
 
+/// The status, for as long as the primary that it names may be named.
+pub fn answer(knowledge: &Knowledge<'_>, now: Duration) -> TimedAnswer {
+    knowledge.while_primary_is_known(now, Answer::Status(describe(knowledge, now)))
+}
+
 /// The status as JSON.
-pub(super) fn describe(host: &Host, now: Duration) -> Vec<u8> {
-    let view = host.replica.view();
-    let primary = host.replica.primary_hint(now).map(|primary| primary.address().to_string());
-    let exposure = host.replica.exposure();
+fn describe(knowledge: &Knowledge<'_>, now: Duration) -> Vec<u8> {
+    let view = knowledge.replica.view();
+    let primary = knowledge.replica.primary_hint(now).map(|primary| primary.address().to_string());
+    let exposure = knowledge.replica.exposure();
     let status = json!({
-        "Node": host.settings.node_name.as_str(),
-        "Address": host.me.address().to_string(),
-        "Role": role(host.replica.role(now)),
+        "Node": knowledge.name,
+        "Address": knowledge.me.address().to_string(),
+        "Role": role(knowledge.replica.role(now)),
         "Epoch": view.map(|view| view.epoch),
         "Primary": primary,
-        "Members": places(host, &view.map(members).unwrap_or_default()),
-        "Witnesses": places(host, view.map(|view| view.witnesses.as_slice()).unwrap_or_default()),
+        "Members": places(knowledge, &view.map(members).unwrap_or_default()),
+        "Witnesses": places(knowledge, view.map(|view| view.witnesses.as_slice()).unwrap_or_default()),
         "Covered": exposure.is_some_and(ViewExposure::is_none),
         "MembersDoNotSurvive": exposure.map(|exposure| losses(exposure.members)),
         "WitnessesDoNotSurvive": exposure.map(|exposure| losses(exposure.witnesses)),
@@ -44,9 +51,9 @@
     std::iter::once(view.primary).chain(view.backups.iter().copied()).collect()
 }
 
-fn places(host: &Host, nodes: &[NodeId]) -> Vec<OwnedValue> {
+fn places(knowledge: &Knowledge<'_>, nodes: &[NodeId]) -> Vec<OwnedValue> {
     let describe = |node: &NodeId| {
-        let place = host.replica.place_of(*node);
+        let place = knowledge.replica.place_of(*node);
         json!({
             "Address": node.address().to_string(),
             "Zone": place.map(|place| place.zone.as_str()),
