--- /dev/null
+++ b/crates/quillpulley/tests/control/directory_days/system.rs
@@ -0,0 +1,325 @@
+//! Three core processes with their directories and six agents, in virtual time.
+
+use quillpulley::control::directory::{Coverage, Directory};
+use quillpulley::control::directory_view::{DirectoryView, Known};
+use quillpulley::control::fronts::PublishedFronts;
+use quillpulley_feed::{Action, Event, FeedNode, LocalReport, Options};
+use quillpulley_wire::{Body, Front, FrontState};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+pub(super) const CORES: usize = 3;
+pub(super) const AGENTS: usize = 6;
+/// How often processes look at what time has changed.
+pub(super) const TICK: Duration = Duration::from_millis(50);
+pub(super) const STAMP_EVERY: Duration = Duration::from_millis(200);
+/// An agent without news for so long tries another parent.
+pub(super) const SEARCH_AFTER: Duration = Duration::from_secs(1);
+
+pub(super) fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+pub(super) fn agent(number: usize) -> usize {
+    CORES + number
+}
+
+pub(super) fn name(number: usize) -> String {
+    format!("front-{number}")
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    Running,
+    /// Frozen or without power: its links say nothing.
+    Silent,
+    /// Killed: its links are closed.
+    Ended,
+}
+
+pub(super) struct Node {
+    pub(super) feed: FeedNode<usize>,
+    pub(super) state: State,
+    pub(super) region: usize,
+    pub(super) parent: Option<usize>,
+    pub(super) parent_since: Duration,
+    /// Of core processes.
+    pub(super) view: DirectoryView,
+    pub(super) directory: Directory,
+    pub(super) dirty: bool,
+    pub(super) reports_dirty: bool,
+    pub(super) publisher: Option<PublishedFronts>,
+    pub(super) stamped: Duration,
+}
+
+impl Node {
+    pub(super) fn new(number: usize, now: Duration) -> Self {
+        let (region, options) = match number.checked_sub(CORES) {
+            None => (number, Options::core(&format!("core-{number}"))),
+            Some(agent) => (agent / 2, Options::new(&name(agent))),
+        };
+        Node {
+            feed: FeedNode::new(options),
+            state: State::Running,
+            region,
+            parent: None,
+            parent_since: now,
+            view: DirectoryView::default(),
+            directory: Directory::default(),
+            dirty: true,
+            reports_dirty: true,
+            publisher: None,
+            stamped: now,
+        }
+    }
+}
+
+pub(super) struct System {
+    pub(super) now: Duration,
+    pub(super) nodes: Vec<Node>,
+    pub(super) queue: VecDeque<(usize, Event<usize>)>,
+    pub(super) cut: Option<usize>,
+    pub(super) epoch: u64,
+}
+
+impl System {
+    /// All are up and known everywhere; the primary is the core process of region 0.
+    pub(super) fn settled() -> Self {
+        let now = Duration::ZERO;
+        let nodes = (0..CORES + AGENTS).map(|number| Node::new(number, now)).collect();
+        let mut system = System { now, nodes, queue: VecDeque::new(), cut: None, epoch: 0 };
+        system.elect(0);
+        (0..AGENTS).for_each(|number| system.report(number, FrontState::Ready, 1));
+        system.run(ms(10_000));
+        let told: Vec<Vec<String>> = (0..CORES).map(|core| system.told(core)).collect();
+        assert!(told.iter().all(|told| told.len() == AGENTS), "all are known: {told:?}");
+        system
+    }
+
+    pub(super) fn reaches(&self, one: usize, other: usize) -> bool {
+        let is_cut = |node: usize| Some(self.nodes[node].region) == self.cut;
+        let run = [one, other].iter().all(|node| self.nodes[*node].state == State::Running);
+        run && is_cut(one) == is_cut(other)
+    }
+
+    pub(super) fn report(&mut self, number: usize, state: FrontState, life: u64) {
+        let node = agent(number);
+        let region = format!("region-{}", self.nodes[node].region);
+        let front = Front {
+            name: name(number),
+            ip: number as u32,
+            zone: region.clone(),
+            region,
+            address: name(number),
+            state,
+            life,
+            preferred_regions: Vec::new(),
+        };
+        let report = LocalReport { front: Some(front), proxies: 1, ..LocalReport::default() };
+        self.event(node, Event::LocalReport(report));
+    }
+
+    pub(super) fn elect(&mut self, core: usize) {
+        for other in 0..CORES {
+            if self.nodes[other].publisher.take().is_some() && self.nodes[other].state == State::Running {
+                self.event(other, Event::LeaveRoot);
+            }
+        }
+        self.epoch += 1;
+        let node = &mut self.nodes[core];
+        node.publisher = Some(PublishedFronts::inherit(self.now, node.feed.store().iter()));
+        node.reports_dirty = true;
+        node.parent = None;
+        self.event(core, Event::BecomeRoot { epoch: self.epoch });
+        self.event(core, Event::Stamp);
+    }
+
+    pub(super) fn primary(&self) -> Option<usize> {
+        (0..CORES).find(|core| self.nodes[*core].publisher.is_some())
+    }
+
+    pub(super) fn fail(&mut self, node: usize, state: State) {
+        self.nodes[node].state = state;
+        if state == State::Ended {
+            for other in 0..self.nodes.len() {
+                if self.nodes[other].parent == Some(node) {
+                    self.nodes[other].parent = None;
+                    self.event(other, Event::ParentDown);
+                }
+                self.event(other, Event::ChildDown(node));
+            }
+        }
+    }
+
+    /// What a cut held up is lost: the links across it are made anew.
+    pub(super) fn heal(&mut self) {
+        let Some(region) = self.cut else { return };
+        for node in 0..self.nodes.len() {
+            let across = |parent: &usize| {
+                (self.nodes[node].region == region) != (self.nodes[*parent].region == region)
+            };
+            if let Some(parent) = self.nodes[node].parent.filter(across) {
+                self.nodes[node].parent = None;
+                self.event(parent, Event::ChildDown(node));
+                self.event(node, Event::ParentDown);
+            }
+        }
+        self.cut = None;
+    }
+
+    /// A process starts anew and knows nothing.
+    pub(super) fn restart(&mut self, node: usize) {
+        self.fail(node, State::Ended);
+        self.nodes[node] = Node::new(node, self.now);
+        if node >= CORES {
+            self.report(node - CORES, FrontState::Ready, 2 + self.now.as_millis() as u64);
+        }
+    }
+
+    pub(super) fn event(&mut self, node: usize, event: Event<usize>) {
+        self.queue.push_back((node, event));
+        while let Some((node, event)) = self.queue.pop_front() {
+            if self.nodes[node].state != State::Running {
+                continue;
+            }
+            let mut actions = Vec::new();
+            self.nodes[node].feed.handle(self.now, event, &mut actions);
+            actions.into_iter().for_each(|action| self.perform(node, action));
+        }
+    }
+
+    pub(super) fn perform(&mut self, node: usize, action: Action<usize>) {
+        match action {
+            Action::SendParent(body) => self.send_parent(node, body),
+            Action::SendChild(child, body) => self.send_child(node, child, body),
+            Action::SendChildren(children, body) => {
+                children.into_iter().for_each(|child| self.send_child(node, child, body.clone()));
+            }
+            Action::DropChild(child) => {
+                if self.nodes[child].parent == Some(node) {
+                    self.nodes[child].parent = None;
+                    self.queue.push_back((child, Event::ParentDown));
+                }
+            }
+            Action::Changed(changed) => {
+                let node = &mut self.nodes[node];
+                node.dirty |= node.view.published(&changed);
+            }
+            Action::FrontsChanged => {
+                self.nodes[node].dirty = true;
+                self.nodes[node].reports_dirty = true;
+            }
+            Action::TotalsChanged => {}
+        }
+    }
+
+    pub(super) fn send_parent(&mut self, node: usize, body: Body) {
+        if let Some(parent) = self.nodes[node].parent.filter(|parent| self.reaches(node, *parent)) {
+            self.queue.push_back((parent, Event::ChildFrame(node, body)));
+        }
+    }
+
+    pub(super) fn send_child(&mut self, node: usize, child: usize, body: Body) {
+        if self.nodes[child].parent == Some(node) && self.reaches(node, child) {
+            self.queue.push_back((child, Event::ParentFrame(body)));
+        }
+    }
+
+    pub(super) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            for node in 0..self.nodes.len() {
+                if self.nodes[node].state == State::Running {
+                    self.find_parent(node);
+                    self.event(node, Event::Tick);
+                    self.publish(node);
+                }
+            }
+            (0..CORES).for_each(|core| self.show(core));
+        }
+    }
+
+    /// Core processes follow the primary; agents the core process of their region, or in turn the others.
+    pub(super) fn find_parent(&mut self, node: usize) {
+        let current = self.nodes[node].parent;
+        let lately = self.now < self.nodes[node].parent_since + SEARCH_AFTER;
+        let fresh = self.nodes[node].feed.is_fresh(self.now);
+        let candidate = if node < CORES {
+            self.primary().filter(|primary| *primary != node && !self.nodes[node].feed.is_root())
+        } else if current.is_some() && (fresh || lately) {
+            current
+        } else {
+            let first = current.map_or(self.nodes[node].region, |current| current + 1);
+            (first..first + CORES).map(|core| core % CORES).find(|core| self.reaches(node, *core))
+        };
+        let is_asked_again = node < CORES && !fresh && !lately;
+        if candidate == current && !is_asked_again {
+            return;
+        }
+        if let Some(parent) = current.filter(|parent| Some(*parent) != candidate) {
+            self.event(parent, Event::ChildDown(node));
+        }
+        self.nodes[node].parent = candidate;
+        self.nodes[node].parent_since = self.now;
+        if let Some(parent) = candidate.filter(|parent| self.reaches(node, *parent)) {
+            self.event(parent, Event::ChildUp(node));
+            self.event(node, Event::ParentUp);
+        }
+    }
+
+    pub(super) fn publish(&mut self, core: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[core];
+        let Some(publisher) = &mut node.publisher else { return };
+        let changes = if std::mem::take(&mut node.reports_dirty) {
+            publisher.update(now, node.feed.subtree())
+        } else {
+            publisher.tick(now)
+        };
+        if !changes.is_empty() {
+            self.event(core, Event::Publish(changes));
+        } else if now >= node.stamped + STAMP_EVERY {
+            node.stamped = now;
+            self.event(core, Event::Stamp);
+        }
+    }
+
+    pub(super) fn show(&mut self, core: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[core];
+        let waiting = node.view.is_waiting(node.feed.is_fresh(now));
+        if node.state == State::Running && (std::mem::take(&mut node.dirty) || waiting) {
+            node.directory = node.view.directory(now, &Known::at(now, &node.feed));
+        }
+    }
+
+    /// The fronts that the directory of a core process may tell, with those that leave in brackets.
+    pub(super) fn told(&self, core: usize) -> Vec<String> {
+        let directory = &self.nodes[core].directory;
+        if self.nodes[core].state != State::Running || directory.coverage == Coverage::TooFew {
+            return Vec::new();
+        }
+        let shown = directory.fronts.iter().map(|front| match front.state {
+            FrontState::Leaving => format!("({})", front.name),
+            FrontState::Starting | FrontState::Ready => front.name.clone(),
+        });
+        shown.collect()
+    }
+
+    pub(super) fn is_told_by(&self, number: usize, cores: &[usize]) -> bool {
+        cores.iter().any(|core| self.told(*core).contains(&name(number)))
+    }
+
+    /// How long these directories go on telling any of these fronts.
+    pub(super) fn time_until_untold(&mut self, numbers: &[usize], cores: &[usize]) -> u128 {
+        let (start, mut last) = (self.now, self.now);
+        for _ in 0..400 {
+            self.run(TICK);
+            if numbers.iter().any(|number| self.is_told_by(*number, cores)) {
+                last = self.now;
+            }
+        }
+        (last - start).as_millis()
+    }
+}
