--- a/crates/quillpulley/tests/catch_up/main.rs
+++ b/crates/quillpulley/tests/catch_up/main.rs
@@ -17,7 +17,7 @@
 /// What a heartbeat may take: the pieces before it, and its way.
 const HEARTBEAT_US: u64 = 300_000;
 /// What a core process may have on disk, and in its log and on its links.
-const DISK_BOUND: usize = 64_000_000;
+const DISK_BOUND: usize = 44_000_000;
 const MEMORY_BOUND: usize = 64_000_000;
 
 /// A machine that is no primary.
