Share one copy of the configuration among the answers that wait to be written

Each Config.Get made a copy of up to 4.5 MB for an answer that a slow caller may hold up: a few dozen of them would go past the 256 MB of a core machine. The state hands out the bytes themselves, and only the two threads that write copy them. Test: those_who_keep_the_configuration_share_it_until_another_follows. Tests of other answers wrap their bytes anew, with the same claims.

--- a/crates/configuration/src/control_state/mod.rs
+++ b/crates/configuration/src/control_state/mod.rs
@@ -22,6 +22,7 @@
     OrderBody, OrderRef, ReplaceConfig, TakenConfig,
 };
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// The version before the first configuration.
 const NO_VERSION: u64 = 0;
@@ -31,8 +32,8 @@
 pub struct ControlState {
     /// The version in force; 0 before the first.
     version: u64,
-    /// The configuration in force, as it was sent; empty before the first.
-    body: Vec<u8>,
+    /// The configuration in force, as it was sent; empty before the first. Answers that wait to be written share it.
+    body: Arc<[u8]>,
     /// The index of the log entry that brought it.
     config_index: u64,
     history: History,
@@ -48,7 +49,12 @@
 
     /// The configuration in force, exactly as it was sent.
     pub fn body(&self) -> Option<&[u8]> {
-        (self.version != NO_VERSION).then_some(self.body.as_slice())
+        (self.version != NO_VERSION).then_some(&self.body)
+    }
+
+    /// The same, to be kept while other configurations follow, without a copy.
+    pub fn shared_body(&self) -> Option<Arc<[u8]>> {
+        (self.version != NO_VERSION).then(|| self.body.clone())
     }
 
     /// The index of the log entry that brought the configuration in force; 0 before the first.
@@ -115,7 +121,7 @@
         let ReplaceConfig { version, base, content_hash, body } = order;
         self.history.push(TakenConfig { version, base, content_hash });
         self.version = version;
-        self.body = body;
+        self.body = body.into();
         self.config_index = index;
     }
 
@@ -149,7 +155,7 @@
         };
         encode_value::<ControlSnapshot>(&ControlSnapshot {
             version: self.version,
-            body: self.body.clone(),
+            body: self.body.to_vec(),
             history: self.history.to_vec(),
             zones: self.evacuated.iter().map(zone).collect(),
             config_index: self.config_index,
@@ -163,7 +169,7 @@
         let active = snapshot.zones.into_iter().filter(|zone| zone.active);
         *self = ControlState {
             version: snapshot.version,
-            body: snapshot.body,
+            body: snapshot.body.into(),
             config_index: snapshot.config_index,
             history: History::from(snapshot.history),
             evacuated: active.map(|zone| (zone.zone, zone.index)).collect(),
--- a/crates/configuration/tests/control_state.rs
+++ b/crates/configuration/tests/control_state.rs
@@ -8,6 +8,7 @@
 use quillpulley_configuration::{ConfigurationError, ControlState, EvacuationDecision, ReplaceDecision};
 use quillpulley_replication::StateMachine;
 use quillpulley_wire::Entry;
+use std::sync::Arc;
 
 /// A state and the log that made it.
 #[derive(Default)]
@@ -350,3 +351,18 @@
         true
     }
 }
+
+#[test]
+fn those_who_keep_the_configuration_share_it_until_another_follows() {
+    let mut replica = Replica::default();
+    assert_eq!(replica.state.shared_body(), None);
+    let first = valid(1, 0, 0);
+    replica.take(0, &first);
+    let kept = [replica.state.shared_body(), replica.state.shared_body()].map(|body| body.expect("a body"));
+    assert!(Arc::ptr_eq(&kept[0], &kept[1]));
+    replica.take(1, &valid(2, 0, 0));
+    assert_eq!(&*kept[0], first.as_slice());
+    let next = replica.state.shared_body().expect("a body");
+    assert_eq!(Some(&*next), replica.state.body());
+    assert!(!Arc::ptr_eq(&kept[0], &next));
+}
--- a/crates/quillpulley/src/control/api.rs
+++ b/crates/quillpulley/src/control/api.rs
@@ -231,7 +231,8 @@
 fn render(url: &str, answer: Answer) -> JsonAnswer {
     match answer {
         Answer::Done => JsonAnswer::new(200, b"{}".to_vec()),
-        Answer::Configuration(body) | Answer::Status(body) => JsonAnswer::new(200, body),
+        Answer::Configuration(body) => JsonAnswer::new(200, body.to_vec()),
+        Answer::Status(body) => JsonAnswer::new(200, body),
         Answer::NoConfiguration => refusal(404, "no configuration has been taken yet"),
         Answer::Conflict { current } => {
             refusal(412, &format!("version {current} is in place: read it and build on it"))
--- a/crates/quillpulley/src/control/knowledge.rs
+++ b/crates/quillpulley/src/control/knowledge.rs
@@ -23,8 +23,8 @@
 impl Knowledge<'_> {
     /// The newest configuration, to be told by who holds the lease until `lease_end`.
     pub fn configuration(&self, lease_end: Duration) -> TimedAnswer {
-        let body = self.replica.state().body();
-        let answer = body.map_or(Answer::NoConfiguration, |body| Answer::Configuration(body.to_vec()));
+        let body = self.replica.state().shared_body();
+        let answer = body.map_or(Answer::NoConfiguration, Answer::Configuration);
         TimedAnswer::until(lease_end, answer)
     }
 
--- a/crates/quillpulley/src/control/orders.rs
+++ b/crates/quillpulley/src/control/orders.rs
@@ -8,6 +8,7 @@
 use quillpulley_replication::Replica;
 use std::collections::VecDeque;
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// For how long an order may wait for its answer.
@@ -59,8 +60,8 @@
 pub enum Answer {
     /// The order is in force and survives what the deployment tolerates.
     Done,
-    /// The newest configuration, as it was sent.
-    Configuration(Vec<u8>),
+    /// The newest configuration, as it was sent. Answers that wait for slow callers share it.
+    Configuration(Arc<[u8]>),
     /// What this process knows of the core.
     Status(Vec<u8>),
     /// There is no configuration yet.
--- a/crates/quillpulley/tests/control/api.rs
+++ b/crates/quillpulley/tests/control/api.rs
@@ -96,7 +96,7 @@
 #[test]
 fn the_configuration_comes_as_it_was_sent() {
     let body = format!("{{\"Version\":7,\"x\":\"{}\"}}", "y".repeat(100_000));
-    let answer = Answer::Configuration(body.clone().into_bytes());
+    let answer = Answer::Configuration(body.clone().into_bytes().into());
     let told = exchange(call("GET", "/v1/Config.Get"), Call::ReadConfiguration, answer);
     assert_eq!(told.status, 200);
     assert!(told.headers.contains("content-type: application/json"), "{}", told.headers);
--- a/crates/quillpulley/tests/control/late_answers.rs
+++ b/crates/quillpulley/tests/control/late_answers.rs
@@ -38,7 +38,7 @@
     let primary = "10.0.0.4:8080".parse().expect("an address");
     vec![
         (200, Answer::Done),
-        (200, Answer::Configuration(b"{\"Version\":5}".to_vec())),
+        (200, Answer::Configuration(b"{\"Version\":5}".as_slice().into())),
         (404, Answer::NoConfiguration),
         (412, Answer::Conflict { current: 5 }),
         (400, Answer::Invalid("its version is not above the current one".to_string())),
@@ -64,7 +64,8 @@
 #[test]
 fn nothing_is_stated_once_the_lease_has_ended() {
     assert_eq!(statements_after_the_lease(Faults::default()), Vec::<u16>::new());
-    let told = written_at(20_000, Faults::default(), Answer::Configuration(b"{\"Version\":5}".to_vec()));
+    let told =
+        written_at(20_000, Faults::default(), Answer::Configuration(b"{\"Version\":5}".as_slice().into()));
     assert!(told.headers.contains("retry-after: 0.2"), "{}", told.headers);
     assert!(!told.body.contains("Version"), "{}", told.body);
 }
--- a/crates/quillpulley/tests/operators/checker.rs
+++ b/crates/quillpulley/tests/operators/checker.rs
@@ -148,7 +148,7 @@
             }
             (Wish::Read, Answer::NoConfiguration) => assert_eq!(newest, 0, "a read misses version {newest}"),
             (Wish::Read, Answer::Configuration(body)) => {
-                let found = self.versions.iter().rev().find(|(_, known)| *known == body);
+                let found = self.versions.iter().rev().find(|(_, known)| known[..] == body[..]);
                 let (version, _) = found.expect("what is read was in force");
                 assert!(*version >= newest, "a read of version {version} is older than {newest}");
             }
--- a/crates/quillpulley/tests/operators/node.rs
+++ b/crates/quillpulley/tests/operators/node.rs
@@ -203,7 +203,7 @@
 
     fn configuration(&self) -> Answer {
         let body = self.replica.state().body();
-        body.map_or(Answer::NoConfiguration, |body| Answer::Configuration(body.to_vec()))
+        body.map_or(Answer::NoConfiguration, |body| Answer::Configuration(body.into()))
     }
 
     fn elsewhere(&self, now: Duration) -> Answer {
