Call one piece of code for what the control state asks in several places

Whether a node has the state of the view under way stood in two places, the names of the kinds of losses in two, whether a node answers in four, and whether orders wait in two.

--- a/crates/quillpulley/src/control/status.rs
+++ b/crates/quillpulley/src/control/status.rs
@@ -6,7 +6,7 @@
 use super::knowledge::Knowledge;
 use super::orders::Answer;
 use super::timed_answer::TimedAnswer;
-use quillpulley_replication::{Exposure, Role, ViewExposure};
+use quillpulley_replication::{Role, ViewExposure};
 use quillpulley_wire::{NodeId, View};
 use simd_json::prelude::Writable;
 use simd_json::{json, OwnedValue};
@@ -31,8 +31,8 @@
         "Members": places(knowledge, &view.map(members).unwrap_or_default()),
         "Witnesses": places(knowledge, view.map(|view| view.witnesses.as_slice()).unwrap_or_default()),
         "Covered": exposure.is_some_and(ViewExposure::is_none),
-        "MembersDoNotSurvive": exposure.map(|exposure| losses(exposure.members)),
-        "WitnessesDoNotSurvive": exposure.map(|exposure| losses(exposure.witnesses)),
+        "MembersDoNotSurvive": exposure.map(|exposure| exposure.members.kinds()),
+        "WitnessesDoNotSurvive": exposure.map(|exposure| exposure.witnesses.kinds()),
     });
     status.encode().into_bytes()
 }
@@ -62,9 +62,3 @@
     };
     nodes.iter().map(describe).collect()
 }
-
-/// The kinds of tolerated losses that are not survived.
-fn losses(exposure: Exposure) -> Vec<&'static str> {
-    let kinds = [(exposure.machines, "machines"), (exposure.zones, "zones"), (exposure.regions, "regions")];
-    kinds.iter().filter(|(exposed, _)| *exposed).map(|(_, kind)| *kind).collect()
-}
--- a/crates/replication/src/catch_up.rs
+++ b/crates/replication/src/catch_up.rs
@@ -5,13 +5,14 @@
 
 use quillpulley_wire::NodeId;
 
+use crate::primary::Leadership;
 use crate::replica::Replica;
 use crate::StateMachine;
 
 impl<S: StateMachine> Replica<S> {
     /// Lets a node in as soon as it has the log, if orders wait that would follow. Otherwise the next tick does.
     pub(crate) fn let_in_before_orders(&mut self, node: NodeId) {
-        let orders_wait = self.leadership.as_ref().is_some_and(|leadership| !leadership.waiting.is_empty());
+        let orders_wait = self.leadership.as_ref().is_some_and(Leadership::has_waiting);
         if orders_wait && self.change.is_none() && self.joiners().contains(&node) && self.is_ready(node) {
             self.check_reconfiguration();
         }
--- a/crates/replication/src/cover.rs
+++ b/crates/replication/src/cover.rs
@@ -126,7 +126,7 @@
     pub(crate) fn answering_nodes(&self) -> Vec<NodeId> {
         let mut nodes = self.peers.connected();
         nodes.retain(|node| {
-            let answers = self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now));
+            let answers = self.peers.is_answering(self.now, *node);
             answers && !self.peers.is_leaving(self.now, *node)
         });
         nodes
--- a/crates/replication/src/formation.rs
+++ b/crates/replication/src/formation.rs
@@ -241,11 +241,10 @@
     /// Goes on to the witnesses once enough members have the state, and the others had their time.
     fn check_sync(&mut self) {
         let Some(change) = self.change.as_ref().filter(|change| change.phase == Phase::Sync) else { return };
-        let Some(replicator) = &self.replicator else { return };
         let has_all = |node: &NodeId| {
             let is_counted_early =
                 self.options.faults.count_joiner_early && !is_member(&change.highest, *node);
-            is_counted_early || replicator.acked_index(*node).is_some_and(|index| index >= change.end.index)
+            is_counted_early || self.has_synced(*node)
         };
         let mut synced: BTreeSet<NodeId> = change.targets.iter().copied().filter(has_all).collect();
         let leaving = |node: &NodeId| self.peers.is_leaving(self.now, *node);
--- a/crates/replication/src/leaving.rs
+++ b/crates/replication/src/leaving.rs
@@ -78,7 +78,7 @@
         staying: &BTreeSet<NodeId>,
     ) -> BTreeSet<NodeId> {
         let is_there = |node: &&NodeId| {
-            let answers = self.peers.get(**node).is_some_and(|peer| peer.is_answering(self.now));
+            let answers = self.peers.is_answering(self.now, **node);
             answers && self.peers.is_leaving(self.now, **node)
         };
         let leaving: BTreeSet<NodeId> = members.iter().filter(is_there).copied().collect();
@@ -116,7 +116,7 @@
     }
 
     /// Whether a node has the state with which the view under way begins.
-    fn has_synced(&self, node: NodeId) -> bool {
+    pub(crate) fn has_synced(&self, node: NodeId) -> bool {
         let Some(change) = self.change.as_ref().filter(|change| change.phase == Phase::Sync) else {
             return false;
         };
--- a/crates/replication/src/peers.rs
+++ b/crates/replication/src/peers.rs
@@ -129,6 +129,11 @@
         self.get_mut(node).leaving_until = now + LEAVING;
     }
 
+    /// Whether a node answers at present.
+    pub fn is_answering(&self, now: Duration, node: NodeId) -> bool {
+        self.get(node).is_some_and(|peer| peer.is_answering(now))
+    }
+
     pub fn is_leaving(&self, now: Duration, node: NodeId) -> bool {
         self.get(node).is_some_and(|peer| now < peer.leaving_until)
     }
--- a/crates/replication/src/place.rs
+++ b/crates/replication/src/place.rs
@@ -48,14 +48,17 @@
     pub(crate) fn count(self) -> usize {
         [self.machines, self.zones, self.regions].iter().filter(|exposed| **exposed).count()
     }
+
+    /// The names of the kinds of losses that are not survived.
+    pub fn kinds(self) -> Vec<&'static str> {
+        let kinds = [(self.machines, "machines"), (self.zones, "zones"), (self.regions, "regions")];
+        kinds.iter().filter(|(exposed, _)| *exposed).map(|(_, kind)| *kind).collect()
+    }
 }
 
 impl fmt::Display for Exposure {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let kinds = [(self.machines, "machines"), (self.zones, "zones"), (self.regions, "regions")];
-        let exposed: Vec<&str> =
-            kinds.iter().filter(|(exposed, _)| *exposed).map(|(_, kind)| *kind).collect();
-        write!(formatter, "{}", exposed.join(" or "))
+        formatter.write_str(&self.kinds().join(" or "))
     }
 }
 
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -20,7 +20,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub(crate) struct WaitingOrder {
+struct WaitingOrder {
     order: u64,
     payload: Vec<u8>,
 }
@@ -39,7 +39,7 @@
     /// Orders in the log whose fate is open.
     pending: VecDeque<PendingOrder>,
     /// Orders that came during a view change.
-    pub waiting: VecDeque<WaitingOrder>,
+    waiting: VecDeque<WaitingOrder>,
 }
 
 impl Leadership {
--- a/crates/replication/src/witness_set.rs
+++ b/crates/replication/src/witness_set.rs
@@ -30,7 +30,7 @@
     /// The members that are no witnesses and answer.
     fn witness_candidates(&self, witnesses: &[NodeId], members: &BTreeSet<NodeId>) -> Vec<NodeId> {
         let answers = |node: &NodeId| {
-            let answers = self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now));
+            let answers = self.peers.is_answering(self.now, *node);
             *node == self.options.me || answers && !self.peers.is_leaving(self.now, *node)
         };
         members.iter().copied().filter(|node| !witnesses.contains(node) && answers(node)).collect()
@@ -125,7 +125,7 @@
     pub(crate) fn awaits_witness(&self) -> bool {
         let Some(leadership) = &self.leadership else { return false };
         let is_new = |node: &NodeId| !leadership.view.witnesses.contains(node);
-        let answers = |node: &NodeId| self.peers.get(*node).is_some_and(|peer| peer.is_answering(self.now));
+        let answers = |node: &NodeId| self.peers.is_answering(self.now, *node);
         self.peers.connected().iter().any(|node| is_new(node) && answers(node))
     }
 }
