load-balancer: unseen load in the choice of a server, and a fitted time to the first byte

Cause: reported loads are 0.55 s old. And the time per token, a mean over short and long prompts, took long prompts for three to five times as slow as they are. Change: a random number of requests, whose scale is what the other proxies are expected to have sent meanwhile, is added to the load of each candidate (UnseenLoad). The time to the first byte is a line over the tokens, fitted by least squares with a prior (PrefillTime).

--- a/crates/load-balancer/src/balancer/choice.rs
+++ b/crates/load-balancer/src/balancer/choice.rs
@@ -4,6 +4,7 @@
 use super::engine_cost::EngineCosts;
 use super::plain_score::{Score, Scorer};
 use super::service::ServiceState;
+use super::unseen_load::UnseenLoad;
 use super::{Balancer, Choice, ServerKey};
 use crate::demand::Demand;
 use std::cmp::Ordering;
@@ -19,6 +20,7 @@
     /// Chooses a server for a request, other than those that are excluded.
     pub fn choose(&mut self, now: Duration, demand: &Demand<'_>, exclude: &[ServerKey]) -> Choice {
         let random = self.random.f64();
+        let seed = self.random.u64(..);
         if let Some(service) = self.services.get_mut(demand.service) {
             service.note_priority(demand.priority);
             service.refresh_medians(now, &self.servers);
@@ -33,7 +35,7 @@
         }
         candidates.retain(|candidate| candidate.eligibility == best);
         let chosen = match service.settings.engine {
-            Some(_) => self.cheapest(now, service, demand, &candidates),
+            Some(_) => self.cheapest(now, service, demand, &candidates, seed),
             None => self.best_scored(now, service, &candidates, random),
         };
         chosen.map_or(Choice::NoServer, Choice::Send)
@@ -45,11 +47,16 @@
         service: &ServiceState,
         demand: &Demand<'_>,
         candidates: &[Candidate],
+        seed: u64,
     ) -> Option<ServerKey> {
         let costs = EngineCosts::new(now, service, demand);
-        let cost = |candidate: &Candidate| {
+        let others = self.proxies.len().saturating_sub(1);
+        let unseen_load = UnseenLoad::new(service.rate.sends_per_second(now), others, service.servers.len());
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut cost = |candidate: &Candidate| {
             let cached = self.cached.cached_tokens(now, candidate.key, demand.segments);
-            costs.of(candidate, &self.servers[candidate.key], cached)
+            let unseen = unseen_load.sample(&mut random);
+            costs.of(candidate, &self.servers[candidate.key], cached, unseen)
         };
         let with_costs = candidates.iter().map(|candidate| (candidate.key, cost(candidate)));
         with_costs.min_by(|(_, one), (_, other)| one.total_cmp(other)).map(|(key, _)| key)
--- a/crates/load-balancer/src/balancer/eligibility.rs
+++ b/crates/load-balancer/src/balancer/eligibility.rs
@@ -132,7 +132,7 @@
             now,
             settings: &service.settings,
             urgent,
-            max_prefill_tokens: max_prefill_ms / service.rate.token_ms(),
+            max_prefill_tokens: service.rate.prefill.tokens_within(max_prefill_ms),
             rate: service.rate,
             connections: self.connection_quota(&service.settings),
             alone: (!any_warm).then_some(SlowStartShare::SINGLE_REQUEST),
--- a/crates/load-balancer/src/balancer/engine_cost.rs
+++ b/crates/load-balancer/src/balancer/engine_cost.rs
@@ -5,6 +5,7 @@
 
 use super::condition_cost::ConditionCosts;
 use super::eligibility::Candidate;
+use super::prefill_time::PrefillTime;
 use super::server::{Distance, Server};
 use super::service::{Medians, ServiceSettings, ServiceState};
 use crate::demand::Demand;
@@ -44,7 +45,7 @@
     settings: ServiceSettings,
     shared_tokens: f64,
     own_tokens: f64,
-    token_ms: f64,
+    prefill_time: PrefillTime,
     private_tokens: f64,
     medians: Medians,
 }
@@ -58,20 +59,21 @@
             settings: service.settings,
             shared_tokens: f64::from(shared_tokens),
             own_tokens: f64::from(demand.prompt_tokens.saturating_sub(shared_tokens)),
-            token_ms: service.rate.token_ms(),
+            prefill_time: service.rate.prefill,
             private_tokens: service.rate.private_tokens(),
             medians: service.medians,
         }
     }
 
-    /// Returns the cost of a candidate that has cached `cached` tokens of the prompt for this proxy.
-    pub(super) fn of(&self, candidate: &Candidate, server: &Server, cached: u32) -> f64 {
+    /// Returns the cost of a candidate that has cached `cached` tokens of the prompt for this proxy, if `unseen`
+    /// requests have been sent to it beside those that are known.
+    pub(super) fn of(&self, candidate: &Candidate, server: &Server, cached: u32, unseen: f64) -> f64 {
         let shared = self.prefill_cost(candidate, cached);
         shared
             + self.queueing_cost(server, shared + self.own_tokens)
             + self.interference_cost(server, shared + self.own_tokens)
             + self.network_cost(server)
-            + self.occupancy_cost(server)
+            + self.occupancy_cost(server, unseen)
             + CONDITION.of(server, &self.medians, self.now)
     }
 
@@ -84,7 +86,7 @@
     fn queueing_cost(&self, server: &Server, prefilled_here: f64) -> f64 {
         let tokens = server.load.total(self.now).waiting_tokens;
         let objective_ms = (self.demand.objective.as_secs_f64() * 1e3).max(1.0);
-        let part = (tokens + prefilled_here) * self.token_ms / objective_ms;
+        let part = self.prefill_time.first_byte_ms(tokens + prefilled_here) / objective_ms;
         let late = ((part - LATE_FROM) / (1.0 - LATE_FROM)).clamp(0.0, 1.0);
         tokens * QUEUED_TOKEN_COST + late * LATE_COST
     }
@@ -105,12 +107,12 @@
         }
     }
 
-    fn occupancy_cost(&self, server: &Server) -> f64 {
-        let requests = server.load.total(self.now).requests();
+    fn occupancy_cost(&self, server: &Server, unseen: f64) -> f64 {
+        let requests = server.load.total(self.now).requests() + unseen;
         let slots = requests / self.settings.slots(&server.info);
-        let used = server.load.memory(self.now, self.private_tokens);
+        let used = server.load.memory(self.now, self.private_tokens) + unseen * self.private_tokens;
         let memory = self.settings.memory_tokens().map_or(0.0, |tokens| used / f64::from(tokens));
         let occupancy = slots.max(memory);
-        OCCUPANCY_COST * occupancy + OCCUPANCY_CUBED_COST * occupancy.powi(3)
+        OCCUPANCY_COST * occupancy + OCCUPANCY_CUBED_COST * occupancy.max(0.0).powi(3)
     }
 }
--- a/crates/load-balancer/src/balancer/in_flight.rs
+++ b/crates/load-balancer/src/balancer/in_flight.rs
@@ -58,7 +58,7 @@
         let request_cost = RequestCost::new(demand, self.prefill_tokens(now, key, demand));
         self.cached.record(now, key, demand.segments);
         if let Some(service) = self.services.get_mut(demand.service) {
-            service.rate.record_begin(demand.private_tokens());
+            service.rate.record_begin(now, demand.private_tokens());
         }
         let server = self.servers.get_mut(key);
         let (queued_tokens, is_probation) =
--- a/crates/load-balancer/src/balancer/mod.rs
+++ b/crates/load-balancer/src/balancer/mod.rs
@@ -11,16 +11,19 @@
 mod outcome;
 mod outlier_detection;
 mod plain_score;
+mod prefill_time;
 mod prefix_cache;
 mod server;
 mod server_load;
 mod service;
 mod service_rate;
 mod slow_start;
+mod unseen_load;
 
 pub use in_flight::{HealthCheckResult, Ticket};
 pub use options::{Options, ProxyPeer};
 pub use outcome::{Choice, FailureKind, Outcome};
+pub use prefill_time::PrefillTime;
 pub use quillpulley_protocol::Locality;
 pub use server::{server_hash, ServerInfo};
 
--- /dev/null
+++ b/crates/load-balancer/src/balancer/prefill_time.rs
@@ -0,0 +1,90 @@
+//! How long servers of a service take from a request to the first byte of its response, by the tokens to prefill.
+//!
+//! The model is a line: a base time, and a time per token. Both are fitted to the responses that this proxy has seen,
+//! by least squares with weights that decay with each response, so that a change of speed is followed. A few responses
+//! of the prior keep the line sensible as long as nothing, or only one length, has been seen.
+
+/// The weight of a response after the next one.
+const DECAY: f64 = 0.98;
+/// The prior: a base time, a time per token, and the lengths of two prompts that fit it.
+const PRIOR_BASE_MS: f64 = 20.0;
+const PRIOR_TOKEN_MS: f64 = 0.03;
+const PRIOR_TOKENS: [f64; 2] = [0.0, 4_000.0];
+/// The weight of each of these prompts. It does not decay.
+const PRIOR_WEIGHT: f64 = 1.0;
+/// The least time per token: a line that does not rise says nothing about long prompts.
+const MIN_TOKEN_MS: f64 = 0.002;
+
+/// The time to the first byte as a line over the tokens to prefill.
+#[derive(Clone, Copy, Debug)]
+pub struct PrefillTime {
+    base_ms: f64,
+    token_ms: f64,
+    sums: Sums,
+}
+
+/// The sums of the least squares, in responses, tokens and milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    weight: f64,
+    tokens: f64,
+    ms: f64,
+    tokens_squared: f64,
+    tokens_ms: f64,
+}
+
+impl Sums {
+    fn add(&mut self, tokens: f64, ms: f64, weight: f64) {
+        self.weight += weight;
+        self.tokens += weight * tokens;
+        self.ms += weight * ms;
+        self.tokens_squared += weight * tokens * tokens;
+        self.tokens_ms += weight * tokens * ms;
+    }
+
+    fn decay(&mut self) {
+        self.weight *= DECAY;
+        self.tokens *= DECAY;
+        self.ms *= DECAY;
+        self.tokens_squared *= DECAY;
+        self.tokens_ms *= DECAY;
+    }
+
+    /// Returns the base time and the time per token of the line that fits best.
+    fn line(&self) -> (f64, f64) {
+        let variance = self.weight * self.tokens_squared - self.tokens * self.tokens;
+        let covariance = self.weight * self.tokens_ms - self.tokens * self.ms;
+        let token_ms = (covariance / variance.max(f64::EPSILON)).max(MIN_TOKEN_MS);
+        let base_ms = ((self.ms - token_ms * self.tokens) / self.weight).max(0.0);
+        (base_ms, token_ms)
+    }
+}
+
+impl Default for PrefillTime {
+    fn default() -> Self {
+        PrefillTime { base_ms: PRIOR_BASE_MS, token_ms: PRIOR_TOKEN_MS, sums: Sums::default() }
+    }
+}
+
+impl PrefillTime {
+    /// Records a response whose server had to prefill this many tokens before its first byte.
+    pub fn record(&mut self, tokens: f64, ms: f64) {
+        self.sums.decay();
+        self.sums.add(tokens, ms, 1.0);
+        let mut with_prior = self.sums;
+        for tokens in PRIOR_TOKENS {
+            with_prior.add(tokens, PRIOR_BASE_MS + PRIOR_TOKEN_MS * tokens, PRIOR_WEIGHT);
+        }
+        (self.base_ms, self.token_ms) = with_prior.line();
+    }
+
+    /// Returns the expected milliseconds to the first byte, with this many tokens to prefill.
+    pub fn first_byte_ms(&self, tokens: f64) -> f64 {
+        self.base_ms + self.token_ms * tokens
+    }
+
+    /// Returns the most tokens that are prefilled before a first byte within this time.
+    pub fn tokens_within(&self, ms: f64) -> f64 {
+        (ms - self.base_ms) / self.token_ms
+    }
+}
--- a/crates/load-balancer/src/balancer/service_rate.rs
+++ b/crates/load-balancer/src/balancer/service_rate.rs
@@ -1,5 +1,6 @@
 //! The speed of servers, from the times to the first byte.
 
+use super::prefill_time::PrefillTime;
 use std::time::Duration;
 
 /// The weight of one response in a mean.
@@ -21,6 +22,9 @@
 /// The initial time of a request.
 const INITIAL_DURATION: Duration = Duration::from_millis(300);
 
+/// The time over which sends are counted.
+const EVENT_RATE_WINDOW: Duration = Duration::from_secs(2);
+
 /// An exponentially weighted mean.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Mean {
@@ -74,13 +78,40 @@
     }
 }
 
+/// The recent rate of an event, with exponentially decaying weights.
+#[derive(Clone, Copy, Debug, Default)]
+struct EventRate {
+    count: f64,
+    updated: Duration,
+}
+
+impl EventRate {
+    fn count_at(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.updated).as_secs_f64();
+        self.count * (-age / EVENT_RATE_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn record(&mut self, now: Duration) {
+        self.count = self.count_at(now) + 1.0;
+        self.updated = now;
+    }
+
+    fn per_second(&self, now: Duration) -> f64 {
+        self.count_at(now) / EVENT_RATE_WINDOW.as_secs_f64()
+    }
+}
+
 /// The times of the requests of a service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ServiceRate {
+    /// The requests that this proxy sends.
+    sends: EventRate,
     /// The least time to the first byte by distance, in milliseconds. Their differences are the network latencies.
     floors: [Option<f64>; 3],
     /// Milliseconds per token of work.
     token_ms: Mean,
+    /// The time to the first byte, without the network latency.
+    pub(crate) prefill: PrefillTime,
     /// Milliseconds to the first byte.
     first_byte_ms: Mean,
     /// Milliseconds from the send to the end of the response.
@@ -96,7 +127,9 @@
         let floor = self.floors[distance].get_or_insert(milliseconds);
         *floor = floor.min(milliseconds);
         let extra_latency = *floor - self.floors.iter().flatten().copied().fold(f64::INFINITY, f64::min);
-        let per_token = (milliseconds - extra_latency).max(0.0) / (BASE_TOKENS + work_tokens);
+        let at_server = (milliseconds - extra_latency).max(0.0);
+        let per_token = at_server / (BASE_TOKENS + work_tokens);
+        self.prefill.record(work_tokens, at_server);
         self.first_byte_ms.add(milliseconds);
         self.token_ms.add(per_token);
         per_token
@@ -106,10 +139,16 @@
         self.duration_ms.add(time.as_secs_f64() * 1e3);
     }
 
-    pub(crate) fn record_begin(&mut self, private_tokens: u32) {
+    pub(crate) fn record_begin(&mut self, now: Duration, private_tokens: u32) {
+        self.sends.record(now);
         self.private_tokens.add(f64::from(private_tokens));
     }
 
+    /// Returns the requests that this proxy sends, per second.
+    pub(crate) fn sends_per_second(&self, now: Duration) -> f64 {
+        self.sends.per_second(now)
+    }
+
     /// Milliseconds per token of work.
     pub(crate) fn token_ms(&self) -> f64 {
         self.token_ms.get().unwrap_or(INITIAL_TOKEN_MS)
