state-sync: responses to subscriptions are bounded by bytes of the link, not by four in 50 ms

Change: Options::repair_bytes, half of the machine's link in 50 ms (settings, LinkMbps); a longer response counts for the following intervals. The test of the bound now states it in bytes, with the same timeline; two more tests.

--- a/crates/quillpulley/src/agent/host/mod.rs
+++ b/crates/quillpulley/src/agent/host/mod.rs
@@ -65,12 +65,14 @@
         peers.listen(sockets.proxy);
         let mut peer_directory = PeerDirectory::default();
         peer_directory.set_seeds(&settings);
+        let sync_options =
+            state_sync::Options::new(&settings.node_name).with_link_mbps(settings.limits.link_mbps);
         Host {
             started_at: Instant::now(),
             peers,
             events,
             datagrams: Datagrams::new(sockets.datagrams),
-            node: SyncNode::new(state_sync::Options::new(&settings.node_name)),
+            node: SyncNode::new(sync_options),
             monitor: Monitor::new(MonitorOptions::new(&settings.node_name, fastrand::u64(..))),
             parent_search: ParentSearch::new(fastrand::u64(..)),
             drain: AgentDrain::new(settings.bounds.grace),
--- a/crates/quillpulley/src/control/distribution/relay_node.rs
+++ b/crates/quillpulley/src/control/distribution/relay_node.rs
@@ -32,11 +32,11 @@
 }
 
 impl RelayNode {
-    /// Creates a node without published state and without a parent.
-    pub fn new(clock: Clock, name: &str) -> Self {
+    /// Creates a node without published state and without a parent. `link_mbps` is the speed of the machine's link.
+    pub fn new(clock: Clock, name: &str, link_mbps: f64) -> Self {
         RelayNode {
             clock,
-            feed: SyncNode::new(Options::control_node(name)),
+            feed: SyncNode::new(Options::control_node(name).with_link_mbps(link_mbps)),
             topology: ControlTopology::default(),
             directory: DirectoryBuilder::default(),
             reports_changed: false,
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -51,7 +51,7 @@
         let node = ControlNode { ip: me.ip, zone: settings.zone.clone(), region: settings.region.clone() };
         let mut host = ControlHost {
             links: Links::new(node, peers),
-            relay: RelayNode::new(clock.clone(), &settings.node_name),
+            relay: RelayNode::new(clock.clone(), &settings.node_name, settings.limits.link_mbps),
             discovery: ServiceDiscovery::new(fetcher, rate_per_s),
             seeds: Seeds::new(now, settings.seeds.clone()),
             settings,
--- a/crates/state-sync/src/node.rs
+++ b/crates/state-sync/src/node.rs
@@ -93,8 +93,9 @@
     pub(crate) moved_at: Option<Duration>,
     pub(crate) fresh_since: Duration,
     pub(crate) children: Children<Child>,
-    /// Responses with items that may still be sent, and since when they are counted.
-    pub(crate) remaining_repairs: usize,
+    /// Bytes of items that may still be sent in responses, and since when they are counted. Less than zero after a
+    /// long response.
+    pub(crate) remaining_repair_bytes: i64,
     pub(crate) repair_interval_began_at: Duration,
     pub(crate) aggregate: Aggregate<Child>,
     /// When the last report was sent, the last totals were sent, and the last tick was.
@@ -104,12 +105,17 @@
     pub(crate) ticked_at: Duration,
 }
 
+/// Returns a number of bytes that can be subtracted from.
+pub(crate) fn byte_count(bytes: usize) -> i64 {
+    i64::try_from(bytes).unwrap_or(i64::MAX)
+}
+
 impl<Child: Copy + Eq + Hash + Ord> SyncNode<Child> {
     /// Creates a node without state and parent.
     pub fn new(options: Options) -> Self {
         SyncNode {
             totals: TotalsState::new(&options.name),
-            remaining_repairs: options.max_concurrent_repairs,
+            remaining_repair_bytes: byte_count(options.repair_bytes),
             options,
             role: Role::Orphan,
             store: Store::default(),
--- a/crates/state-sync/src/options.rs
+++ b/crates/state-sync/src/options.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+const REPAIR_INTERVAL: Duration = Duration::from_millis(50);
+const DEFAULT_LINK_MBPS: f64 = 10.0;
+/// The share of the link that responses to subscriptions may take.
+const REPAIR_LINK_SHARE: f64 = 0.5;
+const BYTES_PER_MEGABIT: f64 = 1e6 / 8.0;
+
 /// The options of a [`SyncNode`](crate::SyncNode).
 ///
 /// A heartbeat takes 100 bytes, five times a second. A frame of counters takes up to 100 bytes and, for what has changed,
@@ -16,8 +22,9 @@
     pub name: String,
     /// The most children at once; further ones are rejected.
     pub max_children: usize,
-    /// The most subscriptions that get items at a time; others wait for `repair_interval`.
-    pub max_concurrent_repairs: usize,
+    /// The bytes of items that responses to subscriptions may have in each `repair_interval`. A longer response is
+    /// sent too, and counts for the following intervals; other subscriptions wait meanwhile.
+    pub repair_bytes: usize,
     /// The time after which more subscriptions get items.
     pub repair_interval: Duration,
     /// The state is stale if the revision does not advance for this long.
@@ -42,8 +49,8 @@
         Options {
             name: name.to_string(),
             max_children: 48,
-            max_concurrent_repairs: 4,
-            repair_interval: Duration::from_millis(50),
+            repair_bytes: repair_bytes(DEFAULT_LINK_MBPS),
+            repair_interval: REPAIR_INTERVAL,
             fresh_for: Duration::from_secs(1),
             resubscribe_after: Duration::from_secs(1),
             report_interval: Duration::from_millis(250),
@@ -54,8 +61,18 @@
         }
     }
 
+    /// Sets the speed of the machine's link, in megabits a second. Responses to subscriptions take half of it.
+    pub fn with_link_mbps(self, link_mbps: f64) -> Self {
+        Options { repair_bytes: repair_bytes(link_mbps), ..self }
+    }
+
     /// Returns the default options of a control node, which accepts the first agents of many zones.
     pub fn control_node(name: &str) -> Self {
         Options { max_children: 256, ..Options::new(name) }
     }
 }
+
+/// Returns the bytes that a link may carry in an interval for responses to subscriptions.
+fn repair_bytes(link_mbps: f64) -> usize {
+    (link_mbps * BYTES_PER_MEGABIT * REPAIR_LINK_SHARE * REPAIR_INTERVAL.as_secs_f64()) as usize
+}
--- a/crates/state-sync/src/updates.rs
+++ b/crates/state-sync/src/updates.rs
@@ -7,7 +7,7 @@
 //! applies to the state whose digests were sent.
 
 use crate::children::{Phase, Subscription};
-use crate::node::{Action, Role, SyncNode};
+use crate::node::{byte_count, Action, Role, SyncNode};
 use crate::publishing::items_of;
 use crate::store::{change, Change, ChangedKey, RANGES};
 use quillpulley_protocol::{Body, Item, Revision, Subscribe, Update, UpdateKind};
@@ -141,12 +141,9 @@
             let ranges = match self.decide_repair(&subscription) {
                 RepairDecision::Wait => continue,
                 RepairDecision::UpToDate => Vec::new(),
-                RepairDecision::Send(_) if self.remaining_repairs == 0 => continue,
+                RepairDecision::Send(_) if self.remaining_repair_bytes <= 0 => continue,
                 RepairDecision::Send(ranges) => ranges,
             };
-            if !ranges.is_empty() {
-                self.remaining_repairs -= 1;
-            }
             self.send_repair(child, subscription.revision, ranges, actions);
         }
     }
@@ -184,7 +181,10 @@
         ranges: Vec<u8>,
         actions: &mut Vec<Action<Child>>,
     ) {
-        let mut update = self.update(UpdateKind::RangeRepair, base, self.store.items_of(&ranges));
+        let items = self.store.items_of(&ranges);
+        let bytes: usize = items.iter().map(|item| item.key.len() + item.value.len()).sum();
+        self.remaining_repair_bytes -= byte_count(bytes);
+        let mut update = self.update(UpdateKind::RangeRepair, base, items);
         update.complete = ranges;
         if let Some(state) = self.children.get_mut(child) {
             state.enter(Phase::Following);
@@ -200,7 +200,8 @@
         }
         if now >= self.repair_interval_began_at + self.options.repair_interval {
             self.repair_interval_began_at = now;
-            self.remaining_repairs = self.options.max_concurrent_repairs;
+            let budget = byte_count(self.options.repair_bytes);
+            self.remaining_repair_bytes = self.remaining_repair_bytes.min(0) + budget;
         }
         self.serve_subscriptions(actions);
     }
@@ -208,7 +209,7 @@
     /// Returns when a subscription has to be sent again, or a delayed response can be sent.
     pub(crate) fn updates_due(&self) -> Duration {
         let is_waiting =
-            self.remaining_repairs == 0 && self.children.values().any(|c| c.subscription().is_some());
+            self.remaining_repair_bytes <= 0 && self.children.values().any(|c| c.subscription().is_some());
         match self.role {
             _ if is_waiting => self.repair_interval_began_at + self.options.repair_interval,
             Role::Subscribing { at } => at + self.options.resubscribe_after,
--- a/crates/state-sync/tests/published_state.rs
+++ b/crates/state-sync/tests/published_state.rs
@@ -241,15 +241,13 @@
     );
 }
 
+/// The item `a=1` has two bytes.
+fn repair_bytes(name: &str, repair_bytes: usize) -> Options {
+    Options { repair_bytes, repair_interval: Duration::from_millis(50), ..Options::new(name) }
+}
+
 #[test]
 fn many_subscriptions_are_answered_a_few_at_a_time() {
-    fn one_at_once(name: &str) -> Options {
-        Options {
-            max_concurrent_repairs: 1,
-            repair_interval: Duration::from_millis(50),
-            ..Options::new(name)
-        }
-    }
     play_with(
         "
           | root    | x         | y         | z
@@ -259,7 +257,36 @@
        51 |         | = 1:2 a=1 | = 1:2 a=1 | = 0:0
       101 |         | = 1:2 a=1 | = 1:2 a=1 | = 1:2 a=1
     ",
-        one_at_once,
+        |name| repair_bytes(name, 2),
+    );
+}
+
+#[test]
+fn a_response_beyond_the_budget_delays_the_next_ones() {
+    play_with(
+        "
+          | root    | x         | y         | z
+        0 | root 1  |           |           |
+        0 | put a=1 | on root   | on root   | on root
+        0 |         | = 1:2 a=1 | = 0:0     | = 0:0
+       51 |         | = 1:2 a=1 | = 0:0     | = 0:0
+      101 |         | = 1:2 a=1 | = 1:2 a=1 | = 0:0
+      151 |         | = 1:2 a=1 | = 1:2 a=1 | = 0:0
+      201 |         | = 1:2 a=1 | = 1:2 a=1 | = 1:2 a=1
+    ",
+        |name| repair_bytes(name, 1),
+    );
+}
+
+#[test]
+fn the_default_budget_answers_all_children_of_a_small_state_at_once() {
+    play(
+        "
+          | root    | x         | y         | z         | u         | v
+        0 | root 1  |           |           |           |           |
+        0 | put a=1 | on root   | on root   | on root   | on root   | on root
+        0 |         | = 1:2 a=1 | = 1:2 a=1 | = 1:2 a=1 | = 1:2 a=1 | = 1:2 a=1
+    ",
     );
 }
 
