--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -1,4 +1,5 @@
-//! Deliberate faults, with which tests prove that they would notice a mistake.
+//! Deliberate faults, with which tests prove that they would notice a mistake, and mechanisms that experiments leave
+//! out to measure what they are worth.
 //!
 //! A crate that uses [`define_faults`] needs a feature `fault-injection`, which its own tests enable. Without it no
 //! fault can be switched on: the type has no fields, and each of its methods is constant.
@@ -42,6 +43,16 @@
                     false
                 }
             )*
+
+            /// Switches on the fault of this name. Returns false if there is none.
+            #[cfg(feature = "fault-injection")]
+            pub fn switch_on(&mut self, name: &str) -> bool {
+                match name {
+                    $(stringify!($name) => self.$name = true,)*
+                    _ => return false,
+                }
+                true
+            }
         }
     };
 }
--- a/crates/load-balancer/src/balancer/choice.rs
+++ b/crates/load-balancer/src/balancer/choice.rs
@@ -49,13 +49,16 @@
         candidates: &[Candidate],
         seed: u64,
     ) -> Option<ServerKey> {
-        let costs = EngineCosts::new(now, service, demand);
+        let costs = EngineCosts::new(now, service, demand, self.options.ablation);
         let others = self.proxies.len().saturating_sub(1);
         let unseen_load = UnseenLoad::new(service.rate.sends_per_second(now), others, service.servers.len());
         let mut random = fastrand::Rng::with_seed(seed);
         let mut cost = |candidate: &Candidate| {
             let cached = self.cached.cached_tokens(now, candidate.key, demand.segments);
-            let unseen = unseen_load.sample(&mut random);
+            let unseen = match self.options.ablation.unseen_load() {
+                true => 0.0,
+                false => unseen_load.sample(&mut random),
+            };
             costs.of(candidate, &self.servers[candidate.key], cached, unseen)
         };
         let with_costs = candidates.iter().map(|candidate| (candidate.key, cost(candidate)));
--- a/crates/load-balancer/src/balancer/eligibility.rs
+++ b/crates/load-balancer/src/balancer/eligibility.rs
@@ -1,5 +1,6 @@
 //! Which servers are eligible for a request now.
 
+use super::ablation::Ablation;
 use super::outlier_detection::HealthStatus;
 use super::prefix_cache::{PrefixKey, LONG_PREFIX_TOKENS};
 use super::server::Server;
@@ -70,6 +71,7 @@
     /// The share of cold servers; none if a cold server gets nothing as the other proxies are unknown.
     alone: Option<SlowStartShare>,
     knows_proxies: bool,
+    ablation: Ablation,
 }
 
 impl Balancer {
@@ -89,7 +91,8 @@
         }
         readmit_ejected(&mut candidates);
         candidates.retain(|candidate| !exclude.contains(&candidate.key));
-        if demand.shared_tokens() >= LONG_PREFIX_TOKENS
+        if !self.options.ablation.cached_only()
+            && demand.shared_tokens() >= LONG_PREFIX_TOKENS
             && eligibility_policy.occupancy_of(&allowed) > CACHED_ONLY_OCCUPANCY
         {
             restrict_to_cached(&mut candidates);
@@ -136,6 +139,7 @@
             rate: service.rate,
             connections: self.connection_quota(&service.settings),
             alone: (!any_warm).then_some(SlowStartShare::SINGLE_REQUEST),
+            ablation: self.options.ablation,
             knows_proxies: self.proxies.iter().any(|proxy| proxy.name == self.options.name),
         }
     }
@@ -157,12 +161,13 @@
             return Eligibility::Ineligible;
         }
         let has_capacity = self.has_capacity(server);
-        match server.health.status(self.now, self.urgent) {
+        match self.health_status(server) {
             HealthStatus::Ejected if has_capacity => Eligibility::Ejected,
             HealthStatus::Ejected => Eligibility::Ineligible,
             HealthStatus::Healthy | HealthStatus::Probation if !has_capacity => Eligibility::Full,
             HealthStatus::Healthy | HealthStatus::Probation
-                if server.load.is_unresponsive(self.now, &self.rate) =>
+                if !self.ablation.unresponsive_detection()
+                    && server.load.is_unresponsive(self.now, &self.rate) =>
             {
                 Eligibility::Suspect
             }
@@ -170,6 +175,13 @@
         }
     }
 
+    fn health_status(&self, server: &Server) -> HealthStatus {
+        if self.ablation.outlier_detection() {
+            return HealthStatus::Healthy;
+        }
+        server.health.status(self.now, self.urgent)
+    }
+
     /// Returns the fraction of all slots that is busy.
     fn occupancy_of(&self, servers: &[(ServerKey, &Server)]) -> f64 {
         let requests: f64 = servers.iter().map(|(_, server)| server.load.total(self.now).requests()).sum();
@@ -179,15 +191,21 @@
 
     fn has_capacity(&self, server: &Server) -> bool {
         let slots = self.settings.slots(&server.info);
-        let queue = if self.urgent { (slots * QUEUE_FRACTION).ceil() } else { 0.0 };
+        let queue =
+            if self.urgent && !self.ablation.urgent_queue() { (slots * QUEUE_FRACTION).ceil() } else { 0.0 };
         let load = server.load.total(self.now);
-        let in_time =
-            load.requests() < slots * BUSY_FRACTION || load.waiting_tokens < self.max_prefill_tokens;
+        let in_time = self.ablation.busy_limit()
+            || load.requests() < slots * BUSY_FRACTION
+            || load.waiting_tokens < self.max_prefill_tokens;
         let free = load.requests() < slots + queue && server.load.own() < self.connections;
-        free && in_time && !server.reports_full(self.now)
+        let reports_full = !self.ablation.full_time() && server.reports_full(self.now);
+        free && in_time && !reports_full
     }
 
     fn warmup_allows(&self, server: &Server) -> bool {
+        if self.ablation.slow_start() {
+            return true;
+        }
         let Some(share) = self.settings.slow_start_share.filter(|_| server.is_warming(self.now)) else {
             return true;
         };
--- a/crates/load-balancer/src/balancer/engine_cost.rs
+++ b/crates/load-balancer/src/balancer/engine_cost.rs
@@ -3,6 +3,7 @@
 //! The candidate of least cost is chosen. The unit of cost is a prompt token that is prefilled again: it takes the
 //! server's time, and has a price if another server has cached it.
 
+use super::ablation::Ablation;
 use super::condition_cost::ConditionCosts;
 use super::eligibility::Candidate;
 use super::prefill_time::PrefillTime;
@@ -48,10 +49,16 @@
     prefill_time: PrefillTime,
     private_tokens: f64,
     medians: Medians,
+    ablation: Ablation,
 }
 
 impl<'a> EngineCosts<'a> {
-    pub(super) fn new(now: Duration, service: &ServiceState, demand: &'a Demand<'a>) -> Self {
+    pub(super) fn new(
+        now: Duration,
+        service: &ServiceState,
+        demand: &'a Demand<'a>,
+        ablation: Ablation,
+    ) -> Self {
         let shared_tokens = demand.shared_tokens();
         EngineCosts {
             now,
@@ -62,6 +69,7 @@
             prefill_time: service.rate.prefill,
             private_tokens: service.rate.private_tokens(),
             medians: service.medians,
+            ablation,
         }
     }
 
@@ -74,16 +82,22 @@
             + self.interference_cost(server, shared + self.own_tokens)
             + self.network_cost(server)
             + self.occupancy_cost(server, unseen)
-            + CONDITION.of(server, &self.medians, self.now)
+            + self.condition_cost(server)
     }
 
     fn prefill_cost(&self, candidate: &Candidate, cached: u32) -> f64 {
+        if self.ablation.prefix_affinity() {
+            return 0.0;
+        }
         let by_rank = candidate.uncached_fraction * self.shared_tokens;
         by_rank.min((self.shared_tokens - f64::from(cached)).max(0.0))
     }
 
     /// Returns the cost of the time to the first byte, which is low until that may be late.
     fn queueing_cost(&self, server: &Server, prefilled_here: f64) -> f64 {
+        if self.ablation.queueing_cost() {
+            return 0.0;
+        }
         let tokens = server.load.total(self.now).waiting_tokens;
         let objective_ms = (self.demand.objective.as_secs_f64() * 1e3).max(1.0);
         let part = self.prefill_time.first_byte_ms(tokens + prefilled_here) / objective_ms;
@@ -93,11 +107,17 @@
 
     /// Returns the cost of the streams that pause while a long prompt is prefilled.
     fn interference_cost(&self, server: &Server, prefilled_here: f64) -> f64 {
+        if self.ablation.interference_cost() {
+            return 0.0;
+        }
         let interfering = (prefilled_here - INTERFERENCE_FROM).max(0.0);
         server.load.total(self.now).running * interfering * INTERFERENCE
     }
 
     fn network_cost(&self, server: &Server) -> f64 {
+        if self.ablation.network_cost() {
+            return 0.0;
+        }
         let output = f64::from(self.demand.output_tokens) * BYTES_PER_OUTPUT_TOKEN;
         let bytes = self.demand.body_bytes as f64 + output;
         match server.distance {
@@ -108,6 +128,9 @@
     }
 
     fn occupancy_cost(&self, server: &Server, unseen: f64) -> f64 {
+        if self.ablation.occupancy_cost() {
+            return 0.0;
+        }
         let requests = server.load.total(self.now).requests() + unseen;
         let slots = requests / self.settings.slots(&server.info);
         let used = server.load.memory(self.now, self.private_tokens) + unseen * self.private_tokens;
@@ -115,4 +138,11 @@
         let occupancy = slots.max(memory);
         OCCUPANCY_COST * occupancy + OCCUPANCY_CUBED_COST * occupancy.max(0.0).powi(3)
     }
+
+    fn condition_cost(&self, server: &Server) -> f64 {
+        if self.ablation.condition_cost() {
+            return 0.0;
+        }
+        CONDITION.of(server, &self.medians, self.now)
+    }
 }
--- a/crates/load-balancer/src/balancer/in_flight.rs
+++ b/crates/load-balancer/src/balancer/in_flight.rs
@@ -1,6 +1,7 @@
 //! Requests in flight, and what their outcomes tell about servers.
 
 use super::outlier_detection::{Event, HealthStatus};
+use super::prefill_time::PrefillTime;
 use super::server::Server;
 use super::server_load::RequestCost;
 use super::{Balancer, FailureKind, Outcome, ServerKey};
@@ -87,6 +88,9 @@
         let work = f64::from(request.request_cost.prefill_tokens) + request.queued_tokens;
         if let Some(service) = self.services.get_mut(&server.info.service) {
             let per_token = service.rate.record_first_byte(time, server.distance as usize, work);
+            if self.options.ablation.fitted_prefill_time() {
+                service.rate.prefill = PrefillTime::default();
+            }
             server.speed.add(now, per_token);
         }
         self.record_response(now, ticket.server);
--- a/crates/load-balancer/src/balancer/mod.rs
+++ b/crates/load-balancer/src/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The choice of a server for each request, and what it is based on: listed entries, load, health, speed, warm-up,
 //! and cached prompt prefixes.
 
+mod ablation;
 mod choice;
 mod condition_cost;
 mod eligibility;
@@ -20,6 +21,7 @@
 mod slow_start;
 mod unseen_load;
 
+pub use ablation::Ablation;
 pub use in_flight::{HealthCheckResult, Ticket};
 pub use options::{Options, ProxyPeer};
 pub use outcome::{Choice, FailureKind, Outcome};
--- a/crates/load-balancer/src/balancer/options.rs
+++ b/crates/load-balancer/src/balancer/options.rs
@@ -1,5 +1,6 @@
 //! The options of a balancer, and the other proxies.
 
+use super::ablation::Ablation;
 use quillpulley_protocol::Locality;
 
 /// A proxy that may send requests to servers.
@@ -22,4 +23,6 @@
     pub warmup_slack: f64,
     /// The seed of random numbers.
     pub seed: u64,
+    /// The mechanisms that an experiment leaves out.
+    pub ablation: Ablation,
 }
--- a/crates/load-balancer/src/lib.rs
+++ b/crates/load-balancer/src/lib.rs
@@ -15,8 +15,8 @@
 mod route_table;
 
 pub use balancer::{
-    server_hash, Balancer, Choice, FailureKind, HealthCheckResult, Locality, Options, Outcome, PrefillTime,
-    ProxyPeer, ServerInfo, ServerKey, Ticket,
+    server_hash, Ablation, Balancer, Choice, FailureKind, HealthCheckResult, Locality, Options, Outcome,
+    PrefillTime, ProxyPeer, ServerInfo, ServerKey, Ticket,
 };
 pub use demand::{Demand, PromptSegment};
 pub use home_demand::HomeDemand;
--- a/crates/load-balancer/tests/common/fleet.rs
+++ b/crates/load-balancer/tests/common/fleet.rs
@@ -1,9 +1,9 @@
 //! A small model of a fleet: model servers, the proxies before them, and their clients.
 #![allow(dead_code)]
 
-use super::{balancer, engine, locality, ms, proxy_peer, ENGINE};
+use super::{balancer_with, engine, locality, ms, options, proxy_peer, ENGINE};
 use quillpulley_load_balancer::{
-    Balancer, Choice, Demand, Outcome, PromptSegment, ProxyPeer, ServerKey, Ticket,
+    Ablation, Balancer, Choice, Demand, Outcome, PromptSegment, ProxyPeer, ServerKey, Ticket,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
@@ -44,6 +44,7 @@
     pub kinds: Vec<Kind>,
     pub seed: u64,
     pub length: Duration,
+    pub ablation: Ablation,
 }
 
 #[derive(Default, Debug)]
@@ -105,14 +106,14 @@
 }
 
 impl Fleet {
-    pub fn new(options: Options) -> Self {
-        let zones = options.proxy_zones.iter().enumerate();
+    pub fn new(fleet_options: Options) -> Self {
+        let zones = fleet_options.proxy_zones.iter().enumerate();
         let proxies: Vec<ProxyPeer> = zones.map(|(n, zone)| proxy_peer(&format!("l{n}"), zone)).collect();
         let mut balancers: Vec<Balancer> =
-            proxies.iter().map(|own| balancer(&own.name, &own.locality.zone, &proxies)).collect();
+            proxies.iter().map(|own| new_balancer(own, &proxies, fleet_options.ablation)).collect();
         let mut engines = BTreeMap::new();
         let mut zones = HashMap::new();
-        for (n, zone) in options.server_zones.iter().enumerate() {
+        for (n, zone) in fleet_options.server_zones.iter().enumerate() {
             for balancer in &mut balancers {
                 let key = balancer.put_server(Duration::ZERO, &engine(&format!("s{n}"), zone));
                 let key = key.expect("the address can be read");
@@ -120,7 +121,7 @@
                 zones.insert(key, *zone);
             }
         }
-        let random = fastrand::Rng::with_seed(options.seed);
+        let random = fastrand::Rng::with_seed(fleet_options.seed);
         Fleet {
             random,
             proxies,
@@ -131,7 +132,7 @@
             totals: VecDeque::new(),
             figures: Figures::default(),
             lengths: HashMap::new(),
-            options,
+            options: fleet_options,
         }
     }
 
@@ -364,6 +365,11 @@
     }
 }
 
+fn new_balancer(own: &ProxyPeer, proxies: &[ProxyPeer], ablation: Ablation) -> Balancer {
+    let options = quillpulley_load_balancer::Options { ablation, ..options(&own.name) };
+    balancer_with(options, &own.locality.zone, proxies)
+}
+
 impl Engine {
     /// Evicts the segments that were unused for longest.
     fn evict(&mut self) {
--- a/crates/load-balancer/tests/common/mod.rs
+++ b/crates/load-balancer/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod fleet;
 
-use quillpulley_load_balancer::{Balancer, Demand, Locality, Options, PromptSegment, ProxyPeer};
+use quillpulley_load_balancer::{Ablation, Balancer, Demand, Locality, Options, PromptSegment, ProxyPeer};
 use quillpulley_protocol as protocol;
 use quillpulley_serving_config::Configuration;
 use std::collections::BTreeMap;
@@ -39,7 +39,13 @@
 }
 
 pub fn options(name: &str) -> Options {
-    Options { name: name.to_owned(), warmup_overshoot: 1.5, warmup_slack: 5.0, seed: 7 }
+    Options {
+        name: name.to_owned(),
+        warmup_overshoot: 1.5,
+        warmup_slack: 5.0,
+        seed: 7,
+        ablation: Ablation::default(),
+    }
 }
 
 pub fn proxy_peer(name: &str, zone: &str) -> ProxyPeer {
@@ -48,7 +54,12 @@
 
 /// A balancer that knows the configuration and no servers.
 pub fn balancer(name: &str, zone: &str, proxies: &[ProxyPeer]) -> Balancer {
-    let mut balancer = Balancer::new(locality(zone), zones(), options(name));
+    balancer_with(options(name), zone, proxies)
+}
+
+/// The same with other options.
+pub fn balancer_with(options: Options, zone: &str, proxies: &[ProxyPeer]) -> Balancer {
+    let mut balancer = Balancer::new(locality(zone), zones(), options);
     balancer.set_services(configuration().services.values());
     if !proxies.is_empty() {
         balancer.set_proxies(proxies.to_vec());
--- a/crates/load-balancer/tests/fleet_scenarios.rs
+++ b/crates/load-balancer/tests/fleet_scenarios.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::fleet::{Figures, Fleet, Kind, Options};
+use quillpulley_load_balancer::Ablation;
 use std::time::Duration;
 
 const ZONES: [&str; 9] = ["a1", "a1", "a1", "a1", "b1", "b1", "b1", "c1", "c1"];
@@ -35,12 +36,17 @@
 }
 
 fn play(server_zones: &[&'static str], kinds: Vec<Kind>) -> Figures {
+    play_without(Ablation::default(), server_zones, kinds)
+}
+
+fn play_without(ablation: Ablation, server_zones: &[&'static str], kinds: Vec<Kind>) -> Figures {
     let options = Options {
         server_zones: server_zones.to_vec(),
         proxy_zones: vec!["a1", "a1", "a1", "b1", "b1", "b1", "c1", "c1"],
         kinds,
         seed: 3,
         length: LENGTH,
+        ablation,
     };
     let figures = Fleet::new(options).run();
     println!("{figures:?}");
@@ -78,3 +84,11 @@
     assert!(figures.rejected * 2 < figures.requests);
     assert!(figures.prefilled_again < figures.shared / 2);
 }
+
+#[test]
+fn without_prefix_affinity_segments_are_prefilled_again() {
+    let with = play(&ZONES, kinds(1.0, 1.0));
+    let ablation = Ablation { prefix_affinity: true, ..Ablation::default() };
+    let without = play_without(ablation, &ZONES, kinds(1.0, 1.0));
+    assert!(without.prefilled_again > 2 * with.prefilled_again);
+}
--- a/crates/load-balancer/tests/stale_loads.rs
+++ b/crates/load-balancer/tests/stale_loads.rs
@@ -35,10 +35,7 @@
         .enumerate()
         .map(|(n, peer)| {
             let options = quillpulley_load_balancer::Options { seed: n as u64, ..options(&peer.name) };
-            let mut balancer = Balancer::new(locality("a1"), zones(), options);
-            balancer.set_services(configuration().services.values());
-            balancer.set_proxies(peers.clone());
-            balancer
+            balancer_with(options, "a1", &peers)
         })
         .collect();
     for balancer in &mut balancers {
--- a/crates/quillpulley/src/command_line/mod.rs
+++ b/crates/quillpulley/src/command_line/mod.rs
@@ -6,6 +6,7 @@
 use displaydoc::Display;
 use log::{info, LevelFilter};
 use pico_args::Arguments;
+use quillpulley::proxy::Experiment;
 use quillpulley::{agent, control, proxy, HostError, Settings};
 use std::ffi::OsString;
 use std::io::{self, Write};
@@ -20,10 +21,17 @@
 enum Invocation {
     Help(&'static str),
     Version,
-    Run(Role, LevelFilter),
+    Run(Role, RunOptions),
     Check(Vec<PathBuf>),
 }
 
+/// The options of a role.
+struct RunOptions {
+    log_level: LevelFilter,
+    /// What an experiment changes; nothing in a released program.
+    experiment: Experiment,
+}
+
 /// The role of a process.
 #[derive(Clone, Copy)]
 enum Role {
@@ -53,7 +61,7 @@
         Ok(Invocation::Help(text)) => print(text),
         Ok(Invocation::Version) => print(&format!("quillpulley {VERSION}\n")),
         Ok(Invocation::Check(files)) => check::run(&files),
-        Ok(Invocation::Run(role, log_level)) => match serve(role, log_level) {
+        Ok(Invocation::Run(role, options)) => match serve(role, &options) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => cannot_start(&error.to_string()),
         },
@@ -93,8 +101,28 @@
     }
     let usage = |error| UsageError::Option(error, role.name());
     let log_level = arguments.opt_value_from_str("--log").map_err(usage)?.unwrap_or(LevelFilter::Info);
+    let experiment = parse_experiment(role, &mut arguments)?;
     finish(arguments, role.name())?;
-    Ok(Invocation::Run(role, log_level))
+    Ok(Invocation::Run(role, RunOptions { log_level, experiment }))
+}
+
+/// Reads the mechanisms that an experiment leaves out of a proxy (`--without NAME`, several times).
+#[cfg(feature = "fault-injection")]
+fn parse_experiment(role: Role, arguments: &mut Arguments) -> Result<Experiment, UsageError> {
+    let mut experiment = Experiment::default();
+    let usage = |error| UsageError::Option(error, role.name());
+    while let Some(name) = arguments.opt_value_from_str::<_, String>("--without").map_err(usage)? {
+        if !experiment.leave_out(&name) {
+            return Err(UsageError::Unexpected(name.into(), role.name()));
+        }
+    }
+    Ok(experiment)
+}
+
+/// Returns no experiment: a released program contains all mechanisms.
+#[cfg(not(feature = "fault-injection"))]
+fn parse_experiment(_role: Role, _arguments: &mut Arguments) -> Result<Experiment, UsageError> {
+    Ok(Experiment::default())
 }
 
 fn parse_check(mut arguments: Arguments) -> Result<Invocation, UsageError> {
@@ -138,12 +166,12 @@
     }
 }
 
-fn serve(role: Role, log_level: LevelFilter) -> Result<(), HostError> {
-    quillpulley_logging::start(log_level);
+fn serve(role: Role, options: &RunOptions) -> Result<(), HostError> {
+    quillpulley_logging::start(options.log_level);
     let settings = Settings::from_environment()?;
     info!(version = VERSION, node = settings.node_name, address:% = settings.ip; "{} starting", role.name());
     match role {
-        Role::Proxy => proxy::run(settings),
+        Role::Proxy => proxy::run(settings, options.experiment),
         Role::Agent => agent::run(settings),
         Role::Control => control::run(settings),
     }
--- a/crates/quillpulley/src/proxy/mod.rs
+++ b/crates/quillpulley/src/proxy/mod.rs
@@ -25,5 +25,5 @@
 pub mod sync;
 pub mod upstream;
 
-pub use faults::Faults;
-pub use process::{run, serve, serve_with_faults, Listeners};
+pub use faults::{Experiment, Faults};
+pub use process::{run, serve, serve_experiment, Listeners};
--- a/crates/quillpulley/src/proxy/process.rs
+++ b/crates/quillpulley/src/proxy/process.rs
@@ -4,7 +4,7 @@
 use crate::proxy::admission::buffer_budget::BufferBudget;
 use crate::proxy::downstream::client_service::{ClientService, RECORDED_BYTES};
 use crate::proxy::downstream::readiness::{self, ReadinessService};
-use crate::proxy::faults::Faults;
+use crate::proxy::faults::Experiment;
 use crate::proxy::shutdown::drain_deadline::DrainDeadline;
 use crate::proxy::state::{Components, ProxyState};
 use crate::proxy::sync::sync_client::SyncClient;
@@ -14,7 +14,7 @@
 use crate::signals::{self, ProcessSignal};
 use crate::{HostError, Settings};
 use quillpulley_http1_client::{ConnectionManager, ConnectionOptions, Linger};
-use quillpulley_load_balancer::{Balancer, Locality, Options, QueueLimits};
+use quillpulley_load_balancer::{Ablation, Balancer, Locality, Options, QueueLimits};
 use quillpulley_retry_budget::{Options as BudgetOptions, RetryBudgets};
 use quillpulley_serving_config::Limits;
 use std::rc::Rc;
@@ -67,28 +67,28 @@
 ///
 /// # Errors
 /// [`HostError`] if the proxy cannot start.
-pub fn run(settings: Settings) -> Result<(), HostError> {
+pub fn run(settings: Settings, experiment: Experiment) -> Result<(), HostError> {
     block_on(async {
         let signals = signals::subscribe()?;
         let listeners = Listeners::bind(&settings).await?;
-        serve(settings, listeners, signals).await;
+        serve_experiment(settings, listeners, signals, experiment).await;
         Ok(())
     })
 }
 
 /// Serves clients until a shutdown is signalled and the proxy has drained. Must be called on a tokio `LocalSet`.
 pub async fn serve(settings: Settings, listeners: Listeners, signals: UnboundedReceiver<ProcessSignal>) {
-    serve_with_faults(settings, listeners, signals, Faults::default()).await;
+    serve_experiment(settings, listeners, signals, Experiment::default()).await;
 }
 
-/// Serves clients with deliberate faults, for tests. See [`serve`].
-pub async fn serve_with_faults(
+/// Serves clients with deliberate faults, or without some mechanisms, for tests and experiments. See [`serve`].
+pub async fn serve_experiment(
     settings: Settings,
     listeners: Listeners,
     mut signals: UnboundedReceiver<ProcessSignal>,
-    faults: Faults,
+    experiment: Experiment,
 ) {
-    let proxy = Proxy::start(&settings, listeners, faults);
+    let proxy = Proxy::start(&settings, listeners, experiment);
     while let Some(signal) = signals.recv().await {
         match signal {
             ProcessSignal::Reload => check_settings(),
@@ -115,7 +115,7 @@
 }
 
 impl Proxy {
-    fn start(settings: &Settings, listeners: Listeners, faults: Faults) -> Proxy {
+    fn start(settings: &Settings, listeners: Listeners, experiment: Experiment) -> Proxy {
         let descriptors = (settings.limits.max_descriptors as usize).saturating_sub(RESERVED_FILES);
         let descriptors = descriptors.saturating_sub(RESERVED_SOCKETS);
         let for_clients = (descriptors as f64 * CLIENT_FRACTION) as usize;
@@ -124,12 +124,12 @@
         let queue_limits = QueueLimits { requests: MAX_QUEUED_REQUESTS, bytes: buffers.limit() / 2 };
         let state = ProxyState::new(Components {
             region: settings.region.clone(),
-            balancer: balancer(settings),
+            balancer: balancer(settings, experiment.ablation),
             budgets: RetryBudgets::new(budget_options(settings)),
             pool: ConnectionPool::new((descriptors - for_clients).max(1)),
             buffers,
             queue_limits,
-            faults,
+            faults: experiment.faults,
         });
         let clients = ConnectionManager::new(client_options(for_clients.max(1), &Limits::default()));
         let address = listeners.clients.local_addr().ok().or(settings.listen.front);
@@ -208,13 +208,14 @@
     (f64::from(megabytes) * MEGABYTE * CONNECTION_FRACTION) as usize / CONNECTION_BYTES
 }
 
-fn balancer(settings: &Settings) -> Balancer {
+fn balancer(settings: &Settings, ablation: Ablation) -> Balancer {
     let locality = Locality { zone: settings.zone.clone(), region: settings.region.clone() };
     let options = Options {
         name: settings.node_name.clone(),
         warmup_overshoot: settings.bounds.warmup_overshoot,
         warmup_slack: settings.bounds.warmup_slack,
         seed: fastrand::u64(..),
+        ablation,
     };
     Balancer::new(locality, settings.zones.clone(), options)
 }
--- a/crates/quillpulley/src/proxy/retry/forwarding.rs
+++ b/crates/quillpulley/src/proxy/retry/forwarding.rs
@@ -7,6 +7,7 @@
 
 use crate::proxy::downstream::local_response::LocalResponse;
 use crate::proxy::downstream::request::RequestContext;
+use crate::proxy::faults::Faults;
 use crate::proxy::headers::{self, REQUEST_ID};
 use crate::proxy::retry::retry_state::{Event, FinalResponse, Phase, RetryPolicy, RetryState, Step};
 use crate::proxy::state::ProxyState;
@@ -98,7 +99,7 @@
         state.retry_budgets.record_request(state.now(), &decision.service);
         let policy = RetryPolicy {
             is_idempotent: decision.is_idempotent,
-            max_attempts: decision.max_attempts,
+            max_attempts: if state.faults.retries() { 1 } else { decision.max_attempts },
             retries_after_reset: state.faults.retry_after_reset(),
         };
         Forwarding {
@@ -106,7 +107,7 @@
             tried: Vec::new(),
             error_response: None,
             socket: None,
-            queue_deadline: request.arrived + queue_time(decision.objective),
+            queue_deadline: request.arrived + queue_time_of(&state, decision.objective),
             retry_after: DEFAULT_RETRY_AFTER,
             state,
             context: Rc::new(context),
@@ -118,6 +119,11 @@
         &self.context
     }
 
+    /// Returns the deliberate faults of this proxy.
+    pub(crate) fn faults(&self) -> Faults {
+        self.state.faults
+    }
+
     /// Sends the request until there is a response to forward, or its deadline has passed.
     ///
     /// # Errors
@@ -134,7 +140,7 @@
         if let Step::Finish(response) = self.retry_state.handle(Event::ConnectionBroken) {
             return Err(self.forward_error(response));
         }
-        self.queue_deadline = Instant::now() + queue_time(self.context.decision.objective);
+        self.queue_deadline = Instant::now() + queue_time_of(&self.state, self.context.decision.objective);
         self.forward_in_time(after).await
     }
 
@@ -332,6 +338,14 @@
     }
 }
 
+/// Returns for how long a request with this target latency may wait in a queue.
+fn queue_time_of(state: &ProxyState, objective: Duration) -> Duration {
+    match state.faults.queueing() {
+        true => Duration::ZERO,
+        false => queue_time(objective),
+    }
+}
+
 /// Reads the body of a response and ends the upstream request, whose connection is kept.
 async fn read_response(
     mut upstream_request: UpstreamRequest,
--- a/crates/quillpulley/src/proxy/streaming/event_stream.rs
+++ b/crates/quillpulley/src/proxy/streaming/event_stream.rs
@@ -83,7 +83,8 @@
         guards: StreamGuards,
     ) -> (Parts, Self) {
         let RequestContext { request, decision } = forwarding.context();
-        let splitter = decision.resumable.then(|| EventSplitter::new(request.last_event_id()));
+        let is_resumable = decision.resumable && !forwarding.faults().stream_resumption();
+        let splitter = is_resumable.then(|| EventSplitter::new(request.last_event_id()));
         let due = Box::pin(sleep_until(request.due));
         forwarding.response_begun();
         let (head, source) = Source::upstream(forwarding, response);
--- a/crates/quillpulley/tests/command_line.rs
+++ b/crates/quillpulley/tests/command_line.rs
@@ -162,3 +162,10 @@
         assert_eq!(output.status.success(), expected == "no errors", "{serves}");
     }
 }
+
+#[test]
+fn a_mechanism_that_does_not_exist_cannot_be_left_out() {
+    let output = quillpulley(&["proxy", "--without", "nothing_of_this_name"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(err(&output).contains("see quillpulley proxy --help"), "{}", err(&output));
+}
--- a/crates/quillpulley/tests/proxy/support/mod.rs
+++ b/crates/quillpulley/tests/proxy/support/mod.rs
@@ -9,7 +9,7 @@
 use agent::FakeAgent;
 pub use client::Client;
 pub use message::Message;
-use quillpulley::proxy::{serve_with_faults, Faults, Listeners};
+use quillpulley::proxy::{serve_experiment, Faults, Listeners};
 use quillpulley::signals::ProcessSignal;
 use quillpulley::Settings;
 use quillpulley_protocol::Server;
@@ -87,7 +87,7 @@
         let endpoint = listeners.clients.local_addr().expect("front");
         let ready = listeners.readiness.local_addr().expect("ready");
         let (commands, receiver) = unbounded_channel();
-        let ended = spawn_local(serve_with_faults(settings, listeners, receiver, faults));
+        let ended = spawn_local(serve_experiment(settings, listeners, receiver, faults.into()));
         Proxy { endpoint, ready, agent, commands, ended }
     }
 
