replication: messages are checked against disks and leases against grants; faults that no test caught

Five planted faults survived the tests: a restarted witness that forgets its lease, a grant that counts whatever its epoch, a claim that counts before it is durable, a node that exits beside too few members, and a lease granted in a prepared epoch beside another's. They are switches of Faults now.

- Every message that the world sends has to be covered by its sender's disk, and every lease by grants since the election (harness/messages.rs, check_grants).
- Long and random runs restart witnesses at once and under a lease that they granted, and deliver answers of witnesses again up to 3 s later.
- Two timelines of single messages (model/late_messages.rs) and one of a raised FaultTolerance find the others.

--- a/crates/replication/src/faults.rs
+++ b/crates/replication/src/faults.rs
@@ -23,5 +23,15 @@
         answer_without_lease_check,
         /// A member confirms an installed state before all of it is durable.
         install_before_complete,
+        /// A witness forgets at a restart that it may have granted a lease.
+        forget_lease_at_restart,
+        /// A grant counts for the round of its number, whatever its epoch.
+        ignore_epoch_of_grant,
+        /// A candidate asks for promises before its claim of the epoch is durable.
+        prepare_before_claim,
+        /// A node that shuts down exits although the view without it has too few members.
+        exit_with_too_few_members,
+        /// A witness grants a lease in an epoch that is being prepared, although the lease of another node runs.
+        grant_under_lease,
     }
 }
--- a/crates/replication/src/lease.rs
+++ b/crates/replication/src/lease.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::view::majority;
+use crate::Faults;
 
 /// The holder leaves one part in so many of a lease unused, against clocks that run at different rates.
 const SAFETY_MARGIN_DIVISOR: u32 = 10;
@@ -28,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Lease {
     duration: Duration,
+    /// Grants count whatever their epoch: a fault of tests.
+    ignores_epoch: bool,
     next_round: u64,
     rounds: VecDeque<Round>,
     /// For each witness, when the newest round that it has granted was sent.
@@ -37,9 +40,10 @@
 }
 
 impl Lease {
-    pub fn new(duration: Duration) -> Self {
+    pub fn new(duration: Duration, faults: Faults) -> Self {
         Lease {
             duration,
+            ignores_epoch: faults.ignore_epoch_of_grant(),
             next_round: PROBE_ROUND + 1,
             rounds: VecDeque::new(),
             granted: BTreeMap::new(),
@@ -58,8 +62,9 @@
 
     /// Records that a witness has granted a round. Rounds that have expired count for nothing.
     pub fn record_grant(&mut self, witness: NodeId, number: u64, epoch: u64) {
-        let round = self.rounds.iter().find(|round| round.number == number && round.epoch == epoch);
-        if let Some(round) = round {
+        let is_granted =
+            |round: &&Round| round.number == number && (round.epoch == epoch || self.ignores_epoch);
+        if let Some(round) = self.rounds.iter().find(is_granted) {
             let newest = self.granted.entry(witness).or_default();
             *newest = round.sent_at.max(*newest);
         }
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -45,12 +45,12 @@
 }
 
 impl PrimaryState {
-    pub fn new(view: View, inherited_index: u64, now: Duration, lease: Duration) -> Self {
+    pub fn new(view: View, inherited_index: u64, now: Duration, lease: Lease) -> Self {
         PrimaryState {
             view,
             elected_at: now,
             inherited_index,
-            lease: Lease::new(lease),
+            lease,
             next_heartbeat: now,
             proposals: Proposals::default(),
             durability: DurabilityMonitor::default(),
--- a/crates/replication/src/replica/acceptor.rs
+++ b/crates/replication/src/replica/acceptor.rs
@@ -99,7 +99,9 @@
     pub(super) fn handle_lease_request(&mut self, from: NodeId, request: LeaseRequest) {
         let LeaseRequest { epoch, round, view, committed, holds_lease } = request;
         // An epoch above that of the view is only being prepared: until it is promised, leases come first.
-        let is_contested = epoch > view.epoch && self.witness.is_leased_to_other(self.now, from);
+        let is_contested = epoch > view.epoch
+            && self.witness.is_leased_to_other(self.now, from)
+            && !self.options.faults.grant_under_lease();
         let can_grant = view.primary == from && self.writes.has_record() && !is_contested;
         let granted = can_grant && self.witness.admit(epoch, from);
         if granted && round != PROBE_ROUND {
@@ -108,7 +110,10 @@
         if granted {
             self.follow(from, epoch, holds_lease);
             self.witness.learn(&view);
-            let tolerated_machines = self.options.fault_tolerance.machines;
+            let tolerated_machines = match self.options.faults.exit_with_too_few_members() {
+                true => 0,
+                false => self.options.fault_tolerance.machines,
+            };
             self.shutdown.record_view(self.options.me, epoch, &view, tolerated_machines);
             if self.writes.is_healthy() {
                 self.writes.push_record(self.witness.record());
--- a/crates/replication/src/replica/election.rs
+++ b/crates/replication/src/replica/election.rs
@@ -73,7 +73,10 @@
         }
         self.observe_epoch(epoch);
         self.writes.push_record(self.witness.record());
-        if let Some(completion) = self.writes.when_durable(Completion::EpochClaimed { epoch }) {
+        let claimed = Completion::EpochClaimed { epoch };
+        if self.options.faults.prepare_before_claim() {
+            self.perform(claimed);
+        } else if let Some(completion) = self.writes.when_durable(claimed) {
             self.perform(completion);
         }
     }
--- a/crates/replication/src/replica/mod.rs
+++ b/crates/replication/src/replica/mod.rs
@@ -84,7 +84,7 @@
             });
         }
         let highest_epoch = record.promised.max(record.accepted.as_ref().map_or(0, |view| view.epoch));
-        let witness = Witness::new(record, now + options.lease, options.faults.promise_under_lease());
+        let witness = Witness::new(record, now + options.lease, options.faults);
         let mut replica = Replica {
             now,
             member,
--- a/crates/replication/src/replica/primary.rs
+++ b/crates/replication/src/replica/primary.rs
@@ -6,7 +6,7 @@
 
 use super::Replica;
 use crate::event::{Action, RejectReason, Write};
-use crate::lease::PROBE_ROUND;
+use crate::lease::{Lease, PROBE_ROUND};
 use crate::membership::DesiredView;
 use crate::primary::{PrimaryState, ResignReason};
 use crate::proposals::QueuedProposal;
@@ -30,7 +30,10 @@
         self.record_drops(&view, desired_view);
         let primary = match self.primary.take() {
             Some(primary) => primary.continue_in(view, self.now),
-            None => PrimaryState::new(view, log_end.index, self.now, self.options.lease),
+            None => {
+                let lease = Lease::new(self.options.lease, self.options.faults);
+                PrimaryState::new(view, log_end.index, self.now, lease)
+            }
         };
         self.primary = Some(primary);
         self.peers.clear_rejections();
--- a/crates/replication/src/witness.rs
+++ b/crates/replication/src/witness.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::view::is_newer;
+use crate::Faults;
 
 /// A grant that expires by itself.
 #[derive(Clone, Copy, Debug)]
@@ -54,10 +55,11 @@
     /// `lease_end` at the latest. Leases are granted only once the promise of their epoch is durable, and a later
     /// promise is made or learned of only when no other node's lease counts any more. So it is the lease of the node
     /// that the record names, if any.
-    pub fn new(record: WitnessRecord, lease_end: Duration, ignores_lease: bool) -> Self {
-        let has_promised = record.promised > 0;
+    pub fn new(record: WitnessRecord, lease_end: Duration, faults: Faults) -> Self {
+        let has_promised = record.promised > 0 && !faults.forget_lease_at_restart();
         let grant = Grant { grantee: record.promised_to, epoch: record.promised, until: lease_end };
         let lease = has_promised.then_some(grant);
+        let ignores_lease = faults.promise_under_lease();
         Witness { record, lease, candidate: None, resigned: None, ignores_lease }
     }
 
--- a/crates/replication/tests/replication/harness/faults.rs
+++ b/crates/replication/tests/replication/harness/faults.rs
@@ -59,6 +59,7 @@
             verified_commands: 0,
             buffered_reads: 0,
             writes: 0,
+            elected_in: None,
             zone: number % ZONES,
         });
         number
@@ -111,6 +112,7 @@
         slot.verified_commands = 0;
         slot.buffered_reads = 0;
         slot.writes = 0;
+        slot.elected_in = None;
         let process = slot.process;
         self.note(machine, "starts");
         self.check_state(machine);
--- a/crates/replication/tests/replication/harness/inspect.rs
+++ b/crates/replication/tests/replication/harness/inspect.rs
@@ -1,6 +1,6 @@
 //! Observations of the world, and the invariants that are checked as it runs.
 
-use quillpulley_protocol::NodeId;
+use quillpulley_protocol::{Body, NodeId};
 use quillpulley_replication::{DurabilityStatus, Locality, Replica, Role};
 use std::time::Duration;
 
@@ -8,6 +8,10 @@
 use super::durability::{self, Survivor};
 use super::world::{traces, Machine, World, REGION_OF};
 
+/// How long a granted lease runs.
+const LEASE_MS: u64 = 900;
+/// The round of a request that asks for no lease.
+const PROBE_ROUND: u64 = 0;
 /// How long a machine counts as lost after it was replaced.
 const CATCH_UP_MS: u64 = 4000;
 
@@ -194,6 +198,40 @@
             }
         }
         self.checker.check_holders(&holders);
+        if self.options.checks_messages {
+            for machine in 0..self.machines.len() {
+                self.check_grants(machine);
+            }
+        }
+    }
+
+    /// Records a lease that is granted by a message.
+    pub(super) fn record_grant(&mut self, witness: NodeId, grantee: NodeId, body: &Body) {
+        if let Body::LeaseGrant(grant) = body {
+            if grant.granted && grant.round != PROBE_ROUND {
+                self.grants.insert((witness, grantee), (grant.epoch, self.now));
+            }
+        }
+    }
+
+    /// A lease that a machine holds was granted since it was elected, by majorities of the witnesses of its view, and not
+    /// too long ago.
+    fn check_grants(&self, machine: usize) {
+        let Some(Role::Primary { epoch, holds_lease: true }) = self.role(machine) else { return };
+        let Some(view) = self.machines[machine].replica.as_ref().and_then(Replica::view) else { return };
+        let elected_in = self.machines[machine].elected_in.unwrap_or(epoch);
+        let me = self.machines[machine].id;
+        let has_granted = |witness: &&NodeId| {
+            let granted = self.grants.get(&(**witness, me));
+            let counts = |(in_epoch, at): &(u64, u64)| *in_epoch >= elected_in && self.now <= at + LEASE_MS;
+            **witness == me || granted.is_some_and(counts)
+        };
+        let previous = (!view.activated).then_some(&view.previous_witnesses);
+        for set in [&view.witnesses].into_iter().chain(previous) {
+            let count = set.iter().filter(has_granted).count();
+            let name = &self.machines[machine].name;
+            assert!(2 * count > set.len(), "{name} holds a lease of epoch {epoch} that {count} have granted");
+        }
     }
 
     pub(super) fn local(&self, machine: usize) -> Duration {
--- a/crates/replication/tests/replication/harness/mod.rs
+++ b/crates/replication/tests/replication/harness/mod.rs
@@ -7,6 +7,7 @@
 pub mod durability;
 mod faults;
 mod inspect;
+pub mod messages;
 pub mod network;
 pub mod timeline;
 pub mod world;
--- a/crates/replication/tests/replication/harness/network.rs
+++ b/crates/replication/tests/replication/harness/network.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeSet;
 
+/// How late the copies of answers are.
+const LATE_MS: std::ops::Range<u64> = 500..3000;
+
 /// How links behave, in milliseconds and shares of a thousand.
 #[derive(Clone, Copy, Debug)]
 pub struct NetworkOptions {
@@ -13,11 +16,13 @@
     pub duplicated: u32,
     /// Messages that take up to a second of a thousand.
     pub delayed: u32,
+    /// Answers of witnesses that come once more of a thousand, seconds later: perhaps to a later leadership.
+    pub late: u32,
 }
 
 impl Default for NetworkOptions {
     fn default() -> Self {
-        NetworkOptions { min_delay: 5, max_delay: 25, lost: 0, duplicated: 0, delayed: 0 }
+        NetworkOptions { min_delay: 5, max_delay: 25, lost: 0, duplicated: 0, delayed: 0, late: 0 }
     }
 }
 
@@ -54,6 +59,12 @@
         self.passes(one, other) && self.passes(other, one)
     }
 
+    /// When a copy of an answer arrives that comes late, as a delay.
+    pub fn late_delivery(&self, from: usize, to: usize, random: &mut fastrand::Rng) -> Option<u64> {
+        let is_late = self.options.late > 0 && random.u32(0..1000) < self.options.late;
+        (is_late && self.passes(from, to)).then(|| random.u64(LATE_MS))
+    }
+
     /// When copies of a message arrive, as delays; none if it is lost.
     pub fn deliveries(&self, from: usize, to: usize, random: &mut fastrand::Rng) -> Vec<u64> {
         let options = &self.options;
--- a/crates/replication/tests/replication/harness/world.rs
+++ b/crates/replication/tests/replication/harness/world.rs
@@ -1,7 +1,7 @@
 //! The machines and the time.
 
 use quillpulley_protocol::{Body, NodeId};
-use quillpulley_replication::{Action, Event, Faults, RejectReason, Replica, Write, WriteFailed};
+use quillpulley_replication::{Action, Event, Faults, RejectReason, Replica, Role, Write, WriteFailed};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::net::Ipv4Addr;
@@ -9,6 +9,7 @@
 use super::checker::Checker;
 use super::command_history::{Command, CommandHistory};
 use super::disk::{DiskImage, DiskMode};
+use super::messages;
 use super::network::{Network, NetworkOptions};
 
 /// Machines stand in so many zones in turn.
@@ -39,6 +40,9 @@
     pub compact_entries: usize,
     /// Clocks run up to so many thousandths too fast or too slow.
     pub clock_drift: u64,
+    /// Whether every message is checked against the disk of its sender, and every lease against the grants that were
+    /// sent. Off where the other invariants have to catch a fault.
+    pub checks_messages: bool,
     /// A machine comes back as the same node after its disk was wiped: a fault that has to be caught.
     pub keeps_identity: bool,
 }
@@ -57,6 +61,7 @@
             faults: Faults::default(),
             compact_entries: 8,
             clock_drift: 0,
+            checks_messages: true,
             keeps_identity: false,
         }
     }
@@ -92,6 +97,8 @@
     pub(super) buffered_reads: usize,
     /// How many writes its process has begun.
     pub(super) writes: u64,
+    /// The epoch in which its process became the primary, if it is.
+    pub(super) elected_in: Option<u64>,
     /// Its zone, of `ZONES`.
     pub zone: usize,
 }
@@ -119,6 +126,8 @@
     pub(super) proposals: Vec<Command>,
     /// Proposals, and the machine and the process that got them.
     pub(super) proposed: Vec<(u64, usize, u64)>,
+    /// For each witness and node, the epoch and the time of the last lease that the one granted to the other.
+    pub(super) grants: BTreeMap<(NodeId, NodeId), (u64, u64)>,
     /// How many reads were served.
     pub reads: u64,
     /// Nodes that will never come back, and since when.
@@ -145,6 +154,7 @@
             commands: Vec::new(),
             proposals: Vec::new(),
             proposed: Vec::new(),
+            grants: BTreeMap::new(),
             reads: 0,
             lost: Vec::new(),
             queue: BinaryHeap::new(),
@@ -297,15 +307,37 @@
                 self.note(machine, &format!("rejects command {command}: {reason:?}"));
                 self.checker.reject(proposal, matches!(reason, RejectReason::NotPrimary { .. }));
             }
-            Action::RoleChanged(role) => self.note(machine, &format!("{role:?}")),
+            Action::RoleChanged(role) => {
+                let elected_in = self.machines[machine].elected_in;
+                self.machines[machine].elected_in = match role {
+                    Role::Primary { epoch, .. } => elected_in.or(Some(epoch)),
+                    _ => None,
+                };
+                self.note(machine, &format!("{role:?}"));
+            }
             Action::Applied { .. } => {}
         }
     }
 
     fn send(&mut self, machine: usize, to: NodeId, body: Body) {
+        if self.options.checks_messages {
+            let missing = messages::missing_on_disk(&body, &self.machines[machine].disk);
+            assert!(
+                missing.is_none(),
+                "{} sends what is not durable: {missing:?}",
+                self.machines[machine].name
+            );
+        }
         let from = self.machines[machine].id;
         let Some(target) = self.machines.iter().position(|other| other.id == to) else { return };
-        for delay in self.network.deliveries(machine, target, &mut self.random) {
+        self.record_grant(from, to, &body);
+        let is_answer = matches!(body, Body::Promise(_) | Body::LeaseGrant(_) | Body::Accepted(_));
+        let late = match is_answer {
+            true => self.network.late_delivery(machine, target, &mut self.random),
+            false => None,
+        };
+        let deliveries = self.network.deliveries(machine, target, &mut self.random);
+        for delay in deliveries.into_iter().chain(late) {
             let body = body.clone();
             self.schedule(delay, ScheduledEvent::Deliver { to: target, id: to, from, body });
         }
--- a/crates/replication/tests/replication/injected_faults.rs
+++ b/crates/replication/tests/replication/injected_faults.rs
@@ -32,8 +32,9 @@
         .any(|word| message.contains(word))
 }
 
+/// The options of a world with a fault that the invariants on states, disks and leases have to catch.
 fn with_faults(faults: Faults) -> WorldOptions {
-    WorldOptions { faults, ..WorldOptions::default() }
+    WorldOptions { faults, checks_messages: false, ..WorldOptions::default() }
 }
 
 #[test]
@@ -63,7 +64,7 @@
 //    C was away for so long that it gets the whole state, in an election. Its disk freezes before it has that.
 //    B, which has the state, comes up only now. The new view may be P and C only once C has stored all.
 fn election_with_an_installation(seed: u64, faults: Faults) {
-    let mut world = World::first_start(WorldOptions { seed, faults, ..WorldOptions::default() }, 3, 3);
+    let mut world = World::first_start(WorldOptions { seed, ..with_faults(faults) }, 3, 3);
     assert!(world.run_until(6000, |world| world.members().len() == 3));
     let primary = world.leader().expect("a primary");
     let (backup, away) = ((primary + 1) % 3, (primary + 2) % 3);
@@ -144,3 +145,27 @@
     let message = panic.downcast_ref::<String>().cloned().unwrap_or_default();
     assert!(message.contains("an answer lacks the acknowledged command"), "{message}");
 }
+
+/// What the first long run says that breaks an invariant or the rules of messages and leases.
+fn first_broken_rule(faults: Faults) -> Option<String> {
+    let options = WorldOptions { faults, ..WorldOptions::default() };
+    (0..RUNS).find_map(|seed| {
+        let message = seeded::failure(seed, STEPS, &options)?;
+        println!("run {seed}: {message}");
+        let breaks_rule =
+            ["sends what is not durable", "holds a lease"].iter().any(|rule| message.contains(rule));
+        (breaks_rule || is_about_safety(&message)).then_some(message)
+    })
+}
+
+#[test]
+fn a_witness_that_forgets_its_lease_at_a_restart_is_found_by_long_runs() {
+    let faults = Faults { forget_lease_at_restart: true, ..Faults::default() };
+    assert!(first_broken_rule(faults).is_some());
+}
+
+#[test]
+fn a_claim_that_counts_before_it_is_durable_is_found_by_long_runs() {
+    let faults = Faults { prepare_before_claim: true, ..Faults::default() };
+    assert!(first_broken_rule(faults).is_some_and(|message| message.contains("not durable")));
+}
--- a/crates/replication/tests/replication/model/cluster.rs
+++ b/crates/replication/tests/replication/model/cluster.rs
@@ -184,7 +184,7 @@
         }
     }
 
-    fn handle(&mut self, node: usize, event: Event) {
+    pub(super) fn handle(&mut self, node: usize, event: Event) {
         let now = self.time();
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
--- /dev/null
+++ b/crates/replication/tests/replication/model/late_messages.rs
@@ -0,0 +1,159 @@
+//! Leases of one node beside messages of another time: grants of an earlier leadership, and requests in an epoch that
+//! was claimed before another node was elected.
+
+use quillpulley_protocol::{Body, LeaseGrant, NodeId};
+use quillpulley_replication::{Event, Faults, Role};
+
+use super::cluster::{Cluster, Step};
+use super::{stable_cluster, COMPACT_LATE};
+
+/// The round of a request that asks for no lease.
+const PROBE_ROUND: u64 = 0;
+const SHORT_TICK_MS: u64 = 10;
+
+fn leads(cluster: &Cluster, node: usize) -> bool {
+    matches!(cluster.nodes[node].replica.role(cluster.time()), Role::Primary { .. })
+}
+
+fn others(node: usize) -> [usize; 2] {
+    [(node + 1) % 3, (node + 2) % 3]
+}
+
+fn inject(cluster: &mut Cluster, from: usize, to: usize, body: Body) {
+    let id: NodeId = cluster.nodes[to].id;
+    cluster.links.entry((from, to)).or_default().push_front((id, body));
+    cluster.perform(Step::Deliver((from, to)));
+}
+
+/// Delivers what two nodes send to each other, until nothing is in flight between them.
+fn exchange(cluster: &mut Cluster, one: usize, other: usize) {
+    let links = [(one, other), (other, one)];
+    while let Some(link) =
+        links.into_iter().find(|link| cluster.links.get(link).is_some_and(|queue| !queue.is_empty()))
+    {
+        cluster.perform(Step::Deliver(link));
+    }
+}
+
+fn first_grant(cluster: &Cluster) -> Option<(usize, usize, LeaseGrant)> {
+    cluster.links.iter().find_map(|((from, to), queue)| {
+        queue.iter().find_map(|(_, body)| match body {
+            Body::LeaseGrant(grant) if grant.granted && grant.round == 1 => {
+                Some((*from, *to, (**grant).clone()))
+            }
+            _ => None,
+        })
+    })
+}
+
+/// A node is elected, steps down and is elected again by one other. Returns whether it holds the lease once the grant
+/// that the third node gave in the first leadership has come.
+fn is_leased_by_a_late_grant(faults: Faults) -> bool {
+    let mut cluster = Cluster::new(3, faults, COMPACT_LATE);
+    cluster.run(&[], |cluster| first_grant(cluster).is_some());
+    let (witness, node, grant) = first_grant(&cluster).expect("a grant");
+    cluster.run(&[], Cluster::is_complete);
+    assert_eq!(cluster.leaders(), [node], "the first leader is the one of the grant");
+    let other = 3 - node - witness;
+    while !leads(&cluster, node) || cluster.activated_epochs.len() < 2 {
+        for leader in [node, other] {
+            let rest = others(leader);
+            cluster.run(&rest, |cluster| !leads(cluster, leader));
+        }
+        cluster.links.clear();
+        cluster.run(&[witness], |cluster| leads(cluster, node) || leads(cluster, other));
+    }
+    assert!(cluster.leaders().is_empty(), "it has only its own grant as yet");
+    inject(&mut cluster, witness, node, Body::LeaseGrant(Box::new(grant)));
+    cluster.leaders() == [node]
+}
+
+#[test]
+fn a_grant_of_an_earlier_leadership_gives_no_lease() {
+    assert!(!is_leased_by_a_late_grant(Faults::default()));
+    let faults = Faults { ignore_epoch_of_grant: true, ..Faults::default() };
+    assert!(is_leased_by_a_late_grant(faults), "the fault goes unnoticed");
+}
+
+/// A primary knows of a high epoch, claims one above it to drop a node, and is cut off from the other one too: another
+/// is elected in a lower epoch. Returns who holds the lease once the primary has reached the third node again.
+///
+/// The claim follows a heartbeat closely, and the primary ticks often: so it still holds its lease when the claim times
+/// out, and repeats it. `delay_ms` shifts the campaign of the node that it wants to drop. None if the primary steps down
+/// before the other one is elected.
+fn holders_after_a_contested_request(faults: Faults, delay_ms: u64) -> Option<Vec<usize>> {
+    let mut cluster = stable_cluster(3, faults, COMPACT_LATE);
+    let former = cluster.leaders()[0];
+    let [gone, third] = others(former);
+    let epoch = cluster.nodes[former].replica.view().expect("a view").epoch;
+    let answer = LeaseGrant {
+        epoch,
+        round: PROBE_ROUND,
+        granted: true,
+        promised: epoch + 5,
+        last: Default::default(),
+        member: true,
+        witness: true,
+    };
+    inject(&mut cluster, third, former, Body::LeaseGrant(Box::new(answer)));
+    let is_preparing = |cluster: &Cluster| {
+        let sent = cluster.links.values().flatten();
+        sent.filter_map(|(_, body)| match body {
+            Body::Prepare(prepare) => Some(prepare.epoch),
+            _ => None,
+        })
+        .any(|prepared| prepared > epoch)
+    };
+    while !is_preparing(&cluster) {
+        cluster.links.retain(|(from, to), _| *from != gone && *to != gone);
+        exchange(&mut cluster, former, third);
+        cluster.now += SHORT_TICK_MS;
+        cluster.perform(Step::Tick(former));
+    }
+    let former_id = cluster.nodes[former].id;
+    for other in [gone, third] {
+        cluster.handle(other, Event::Disconnected(former_id));
+    }
+    let is_replaced = |cluster: &Cluster| cluster.leaders().iter().any(|leader| *leader != former);
+    let campaigns_at = cluster.now + delay_ms;
+    while !is_replaced(&cluster) {
+        cluster.links.retain(|(from, to), _| *from != former && *to != former);
+        cluster.now += SHORT_TICK_MS;
+        for node in [gone, third, former] {
+            if node != gone || cluster.now >= campaigns_at {
+                cluster.perform(Step::Tick(node));
+            }
+        }
+        exchange(&mut cluster, gone, third);
+    }
+    if !leads(&cluster, former) {
+        return None;
+    }
+    let elected = cluster.leaders()[0];
+    let witness = 3 - former - elected;
+    cluster.handle(witness, Event::Connected(former_id));
+    cluster.links.clear();
+    for _ in 0..20 {
+        cluster.now += SHORT_TICK_MS;
+        cluster.perform(Step::Tick(former));
+        // The answer to its claim would tell it that it is replaced.
+        for queue in cluster.links.values_mut() {
+            queue.retain(|(_, body)| !matches!(body, Body::Prepare(_)));
+        }
+        exchange(&mut cluster, former, witness);
+    }
+    Some(cluster.leaders())
+}
+
+#[test]
+fn no_lease_is_granted_in_a_prepared_epoch_beside_that_of_another() {
+    let counts = |faults: Faults| -> Vec<usize> {
+        let holders =
+            (0..14).filter_map(|step| holders_after_a_contested_request(faults, step * 3 * SHORT_TICK_MS));
+        holders.map(|holders| holders.len()).collect()
+    };
+    let without_fault = counts(Faults::default());
+    assert!(without_fault.len() > 5 && without_fault.iter().all(|count| *count <= 1), "{without_fault:?}");
+    let faults = Faults { grant_under_lease: true, ..Faults::default() };
+    assert!(counts(faults).contains(&2), "the fault goes unnoticed");
+}
--- a/crates/replication/tests/replication/model/mod.rs
+++ b/crates/replication/tests/replication/model/mod.rs
@@ -14,6 +14,7 @@
 
 mod cluster;
 mod inspect;
+mod late_messages;
 
 use quillpulley_replication::Faults;
 use stateright::{Checker, Model, Property};
--- a/crates/replication/tests/replication/operations.rs
+++ b/crates/replication/tests/replication/operations.rs
@@ -7,6 +7,10 @@
 const MACHINES: usize = 60;
 /// How long a machine has to shut down.
 const SHUTDOWN_MS: u64 = 1500;
+/// A process that is killed and started again at once is away for so long at most.
+const RESTART_MS: u64 = 60;
+/// Whoever lost the leader campaigns after so long.
+const CAMPAIGN_MS: u64 = 1500;
 /// Only so many of the latest commands are sent again.
 const LATEST_COMMANDS: u64 = 8;
 
@@ -20,6 +24,11 @@
     Wipe,
     Replace,
     Start,
+    /// The process is killed and comes back within the time of a lease.
+    RestartAtOnce,
+    /// Some machines lose the leader alone. Once they campaign, another witness loses it too and restarts: its lease to
+    /// the leader still runs.
+    RestartUnderLease,
     ShutDown,
     Freeze,
     Resume,
@@ -70,6 +79,13 @@
         }
         Operation::Replace if may_replace(world, machine) => replace(world, machine),
         Operation::Start if !runs => world.start(machine),
+        Operation::RestartAtOnce if runs => {
+            world.kill(machine, false);
+            let pause = world.random.u64(1..RESTART_MS);
+            world.run_for(pause);
+            world.start(machine);
+        }
+        Operation::RestartUnderLease => restart_under_lease(world),
         Operation::ShutDown if runs => world.shut_down(machine),
         Operation::Freeze if runs => world.freeze(machine),
         Operation::Resume if runs => world.resume(machine),
@@ -118,6 +134,22 @@
     }
 }
 
+fn restart_under_lease(world: &mut World) {
+    let Some(leader) = world.leader() else { return };
+    let others: Vec<usize> = world.present().into_iter().filter(|machine| *machine != leader).collect();
+    let (campaigning, granting) = others.split_at(others.len() / 2);
+    for machine in campaigning {
+        world.partition_pair(leader, *machine);
+    }
+    world.run_for(CAMPAIGN_MS);
+    let Some(witness) = granting.first().copied().filter(|machine| world.is_running(*machine)) else {
+        return;
+    };
+    world.partition_pair(leader, witness);
+    world.kill(witness, false);
+    world.start(witness);
+}
+
 fn may_replace(world: &World, machine: usize) -> bool {
     world.machines.len() < MACHINES && world.tolerates_loss_of(machine)
 }
--- a/crates/replication/tests/replication/random.rs
+++ b/crates/replication/tests/replication/random.rs
@@ -9,7 +9,7 @@
 const STEPS: usize = 40;
 
 /// The rarer ones stand once, the others several times.
-const OPERATIONS: [Operation; 34] = [
+const OPERATIONS: [Operation; 36] = [
     Operation::Propose,
     Operation::Propose,
     Operation::Propose,
@@ -29,6 +29,8 @@
     Operation::Start,
     Operation::StartAll,
     Operation::StartAll,
+    Operation::RestartAtOnce,
+    Operation::RestartAtOnce,
     Operation::ShutDown,
     Operation::Freeze,
     Operation::Resume,
@@ -101,7 +103,7 @@
 
 fn run(schedule: &Schedule, count: usize, options: WorldOptions) -> World {
     let network = if schedule.lossy {
-        NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, duplicated: 30, delayed: 20 }
+        NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, duplicated: 30, delayed: 20, late: 30 }
     } else {
         NetworkOptions::default()
     };
--- a/crates/replication/tests/replication/reads.rs
+++ b/crates/replication/tests/replication/reads.rs
@@ -98,7 +98,8 @@
 
 impl Callers {
     fn new(seed: u64, count: usize, checks_clock: bool) -> Self {
-        let lossy = NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, duplicated: 30, delayed: 20 };
+        let lossy =
+            NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, duplicated: 30, delayed: 20, late: 0 };
         let network = if seed.is_multiple_of(2) { NetworkOptions::default() } else { lossy };
         let options = WorldOptions { seed, tolerated: count / 2, network, ..WorldOptions::default() };
         let mut world = World::first_start(options, count, 3);
--- a/crates/replication/tests/replication/scenarios/graceful_shutdown.rs
+++ b/crates/replication/tests/replication/scenarios/graceful_shutdown.rs
@@ -1,7 +1,8 @@
 //! Graceful shutdown: a process may exit once its data is safe elsewhere.
 
 use super::{StableCluster, SEEDS};
-use crate::harness::World;
+use crate::harness::{World, WorldOptions};
+use quillpulley_replication::Faults;
 
 fn acknowledge(world: &mut World) -> u64 {
     let leader = world.leader().unwrap_or_else(|| panic!("no one leads\n{}", world.trace.join("\n")));
@@ -168,3 +169,29 @@
         }
     }
 }
+
+/// The operator raises `FaultTolerance.Machines` from one to two, on one machine after the other. The first of them was
+/// away and is signalled to shut down before it is a member again. Returns whether it may exit while the others are the
+/// only two members: under its own settings they are too few.
+fn exits_beside_two_members(seed: u64, faults: Faults) -> bool {
+    let mut cluster =
+        StableCluster::with(WorldOptions { seed, faults, ..WorldOptions::default() }, ["P", "B", "C"]);
+    let away = cluster.names[2].1;
+    let world = &mut cluster.world;
+    world.kill(away, false);
+    assert!(world.run_until(3000, |world| world.members().len() == 2));
+    world.options.tolerated = 2;
+    world.start(away);
+    world.run_for(100);
+    world.shut_down(away);
+    world.run_until(500, |world| world.can_exit(away) && world.members().len() == 2)
+}
+
+#[test]
+fn a_node_stays_beside_fewer_members_than_its_own_settings_ask_for() {
+    for seed in 0..SEEDS {
+        assert!(!exits_beside_two_members(seed, Faults::default()));
+    }
+    let faults = Faults { exit_with_too_few_members: true, ..Faults::default() };
+    assert!((0..SEEDS).any(|seed| exits_beside_two_members(seed, faults)), "the fault goes unnoticed");
+}
--- a/crates/replication/tests/replication/seeded.rs
+++ b/crates/replication/tests/replication/seeded.rs
@@ -34,7 +34,7 @@
 const CATCH_UP_MS: u64 = 1000;
 
 /// How often each operation comes, in shares.
-const OPERATIONS: [(Operation, u32); 27] = [
+const OPERATIONS: [(Operation, u32); 29] = [
     (Operation::Propose, 20),
     (Operation::ProposeConflicting, 8),
     (Operation::ProposeAnywhere, 4),
@@ -46,6 +46,8 @@
     (Operation::Replace, 2),
     (Operation::ShutDownAndReplace, 2),
     (Operation::Start, 12),
+    (Operation::RestartAtOnce, 6),
+    (Operation::RestartUnderLease, 2),
     (Operation::StartAll, 3),
     (Operation::ShutDown, 2),
     (Operation::Freeze, 4),
@@ -106,7 +108,7 @@
 
 fn start(seed: u64, options: &WorldOptions) -> World {
     let network = if seed.is_multiple_of(2) {
-        NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, duplicated: 30, delayed: 20 }
+        NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, duplicated: 30, delayed: 20, late: 30 }
     } else {
         NetworkOptions::default()
     };
