--- a/crates/http1-client/tests/client_connection/responses.rs
+++ b/crates/http1-client/tests/client_connection/responses.rs
@@ -12,7 +12,7 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::runtime::Builder;
-use tokio::task::LocalSet;
+use tokio::task::{yield_now, LocalSet};
 use tokio::time::timeout;
 
 /// The longest that anything is waited for.
@@ -207,3 +207,35 @@
         assert_eq!(*shared.bodies.borrow(), [b"slow".to_vec(), b"fast".to_vec()]);
     });
 }
+
+#[test]
+fn bytes_that_nobody_has_read_yet_keep_a_connection_from_being_reused() {
+    run(async {
+        let (address, shared) = start(&["request ok signal wait ok signal"]).await;
+        let mut connection = connect(address).await;
+        assert_eq!(outcome(connection.exchange(request(b"work".to_vec())).await), "200 done");
+        wait_for_signal(&shared).await;
+        assert!(is_usable(&mut connection).await);
+        shared.go_on.add_permits(1);
+        wait_for_signal(&shared).await;
+        // The connection is not driven meanwhile, so that only the kernel has the bytes.
+        while connection.socket().is_open_and_empty() {
+            yield_now().await;
+        }
+        assert!(!connection.is_usable());
+    });
+}
+
+#[test]
+fn a_connection_whose_response_is_not_complete_cannot_be_reused() {
+    run(async {
+        let (address, shared) = start(&["request half-body signal"]).await;
+        let mut connection = connect(address).await;
+        let response = connection.send(request(b"work".to_vec())).await.expect("a head");
+        wait_for_signal(&shared).await;
+        let (_, mut body) = response.into_parts();
+        let first = poll_fn(|cx| connection.poll_data(cx, &mut body)).await;
+        assert_eq!(first, Some(Ok(Bytes::from_static(b"do"))));
+        assert!(!connection.is_usable() && !is_usable(&mut connection).await);
+    });
+}
--- a/crates/replication/tests/replication/scenarios/mod.rs
+++ b/crates/replication/tests/replication/scenarios/mod.rs
@@ -8,6 +8,7 @@
 mod partitions_and_disks;
 mod restarts;
 mod second_failure;
+mod slow_links;
 mod state_transfer;
 
 use crate::harness::timeline::play;
--- /dev/null
+++ b/crates/replication/tests/replication/scenarios/slow_links.rs
@@ -0,0 +1,38 @@
+//! Machines far from each other: answers come after later heartbeats were sent.
+
+use super::{StableCluster, SEEDS};
+use crate::harness::{NetworkOptions, WorldOptions};
+
+/// A round trip takes longer than the time between two heartbeats.
+const FAR: NetworkOptions =
+    NetworkOptions { min_delay: 80, max_delay: 110, lost: 0, duplicated: 0, delayed: 0, late: 0 };
+
+fn far_apart(text: &str) {
+    for seed in 0..SEEDS {
+        let options = WorldOptions { seed, network: FAR, ..WorldOptions::default() };
+        StableCluster::with(options, ["P", "B", "C"]).play(text);
+    }
+}
+
+#[test]
+fn the_lease_is_held_though_answers_come_after_later_heartbeats() {
+    far_apart(
+        "time | P               | B       | C       | *
+            0 | leads propose=1 | hints:P | hints:P |
+          900 | leads acked=1   | hints:P | hints:P |
+         1300 | leads           | hints:P | hints:P |
+         1900 | leads propose=2 | hints:P | hints:P |
+         2800 | leads acked=2   | hints:P | hints:P |
+         9000 | leads           | hints:P | hints:P |",
+    );
+}
+
+#[test]
+fn a_killed_primary_is_replaced_over_slow_links() {
+    far_apart(
+        "time | P    | B | C | *
+            0 | kill |   |   |
+         2800 |      |   |   | propose=1
+         4000 |      |   |   | acked=1",
+    );
+}
