control: a node whose link from the primary was replaced subscribes again at once

Cause: a new link from the same process took the place of one that had not been closed here, while the primary had dropped this node with the old one. Updates came again only after a second without any. Change: Links reports the replacement, and the topology asks the parent again with the next event.

--- a/crates/quillpulley/src/control/distribution/control_topology.rs
+++ b/crates/quillpulley/src/control/distribution/control_topology.rs
@@ -60,6 +60,8 @@
 pub struct ControlTopology {
     parent: Option<NodeId>,
     subscribed_at: Duration,
+    /// Whether the link from the parent was replaced since the last subscription.
+    is_link_replaced: bool,
     children: BTreeSet<NodeId>,
     pending: BTreeMap<NodeId, PendingChild>,
 }
@@ -82,9 +84,11 @@
     ) -> Option<ParentChange> {
         let chosen = primary.filter(|node| is_reachable(*node));
         let chosen = chosen.or(self.parent.filter(|node| is_reachable(*node)));
-        if chosen == self.parent && !(chosen.is_some() && self.is_stale(now, moved_at)) {
+        let is_outdated = self.is_link_replaced || self.is_stale(now, moved_at);
+        if chosen == self.parent && !(chosen.is_some() && is_outdated) {
             return None;
         }
+        self.is_link_replaced = false;
         self.parent = chosen;
         self.subscribed_at = now;
         Some(if chosen.is_some() { ParentChange::Up } else { ParentChange::Down })
@@ -95,6 +99,11 @@
         now.saturating_sub(latest) >= RESUBSCRIBE_AFTER
     }
 
+    /// Records that the link from a control node was replaced. The parent is subscribed to again.
+    pub fn link_replaced(&mut self, node: NodeId) {
+        self.is_link_replaced |= self.parent == Some(node);
+    }
+
     /// Makes this process the root.
     pub fn become_root(&mut self) {
         self.parent = None;
--- a/crates/quillpulley/src/control/distribution/relay_node.rs
+++ b/crates/quillpulley/src/control/distribution/relay_node.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Handles that another link has taken the place of the one from a control node. If that is the parent, it may have
+    /// dropped this process as a child.
+    pub fn control_node_link_replaced(&mut self, node: NodeId) {
+        self.topology.link_replaced(node);
+    }
+
     /// Chooses the parent: the primary if it can be reached. Must not be called at the root.
     pub fn update_parent(&mut self, now: Duration, primary: Option<NodeId>, links: &mut Links) {
         let is_reachable = |node| links.exchanges_with(node);
--- a/crates/quillpulley/src/control/replica_host/links.rs
+++ b/crates/quillpulley/src/control/replica_host/links.rs
@@ -21,6 +21,9 @@
     Disconnected(NodeId),
     /// Nothing more comes from a control node.
     ReceiverLost(NodeId),
+    /// A control node has opened another link in the place of one that had not been closed: what was sent on that one may
+    /// be lost.
+    ReceiverReplaced(NodeId),
     /// A control node has sent a message.
     ControlNodeMessage(NodeId, Body),
     /// An agent has connected.
@@ -65,10 +68,12 @@
     fn accepted(&mut self, now: Duration, link: LinkId, hello: Hello) -> Option<LinkEvent> {
         match hello.kind {
             PeerKind::Control if hello.node.ip != self.me.ip => {
+                let was_receiving = self.table.receives_from(hello.node);
                 for superseded in self.table.accepted(now, link, hello.node) {
                     self.peers.close(superseded);
                 }
-                None
+                let is_current = self.table.sender(link) == Some(hello.node);
+                (was_receiving && is_current).then_some(LinkEvent::ReceiverReplaced(hello.node))
             }
             PeerKind::Agent => {
                 self.agents.insert(link);
--- a/crates/quillpulley/tests/control/relay.rs
+++ b/crates/quillpulley/tests/control/relay.rs
@@ -66,6 +66,22 @@
     assert_eq!(choose(2900, 1900), Some(ParentChange::Up));
 }
 
+#[test]
+fn a_parent_whose_link_was_replaced_is_asked_again_at_once() {
+    let mut relay = ControlTopology::default();
+    let choose = |relay: &mut ControlTopology, now| {
+        relay.choose_parent(at(now), Some(node(1)), Some(at(now)), |_| true)
+    };
+    relay.link_replaced(node(1));
+    assert_eq!(choose(&mut relay, 100), Some(ParentChange::Up));
+    assert_eq!(choose(&mut relay, 110), None);
+    relay.link_replaced(node(2));
+    assert_eq!(choose(&mut relay, 120), None, "that one is no parent");
+    relay.link_replaced(node(1));
+    assert_eq!(choose(&mut relay, 130), Some(ParentChange::Up));
+    assert_eq!(choose(&mut relay, 140), None);
+}
+
 #[test]
 fn who_applies_too_early_becomes_a_child_at_the_election() {
     let mut relay = ControlTopology::default();
--- a/crates/replication/tests/replication/scenarios/graceful_shutdown.rs
+++ b/crates/replication/tests/replication/scenarios/graceful_shutdown.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: a process may exit once its data is safe elsewhere.
 
-use super::{StableCluster, SEEDS};
+use super::{three, StableCluster, SEEDS};
 use crate::harness::{World, WorldOptions};
 use quillpulley_replication::Faults;
 
@@ -195,3 +195,26 @@
     let faults = Faults { exit_with_too_few_members: true, ..Faults::default() };
     assert!((0..SEEDS).any(|seed| exits_beside_two_members(seed, faults)), "the fault goes unnoticed");
 }
+
+#[test]
+fn a_node_that_goes_on_running_after_its_signal_is_not_added_again() {
+    three(
+        "time | P         | B | C         | *
+            0 |           |   | shutdown  |
+          500 |           |   | no-member |
+         4000 |           |   | no-member |
+         4000 | propose=1 |   |           |
+         4300 | acked=1   |   |           |
+         9000 |           |   | no-member |",
+    );
+}
+
+#[test]
+fn one_of_five_can_exit_at_once_as_a_witness() {
+    for seed in 0..SEEDS {
+        let mut cluster = StableCluster::new(seed, 2, ["P", "B", "C", "D", "E"]);
+        let machine = cluster.names[4].1;
+        let time = time_to_exit(&mut cluster.world, machine).expect("an end");
+        assert!(time <= 600, "{time} ms\n{}", cluster.world.trace.join("\n"));
+    }
+}
