--- a/crates/replication/tests/replication/model/inspect.rs
+++ b/crates/replication/tests/replication/model/inspect.rs
@@ -16,6 +16,23 @@
         self.present().into_iter().filter(leads).collect()
     }
 
+    /// How often a caller who begins at a node is sent on, until nobody is named or the named one names itself. None if
+    /// it would be led back to where it was.
+    pub fn redirects_from(&self, node: usize) -> Option<usize> {
+        let mut passed = vec![node];
+        loop {
+            let last = passed[passed.len() - 1];
+            let hint = self.nodes[last].replica.primary_hint(self.time());
+            let next =
+                hint.and_then(|hint| self.present().into_iter().find(|node| self.nodes[*node].id == hint));
+            match next.filter(|next| *next != last) {
+                None => return Some(passed.len() - 1),
+                Some(next) if passed.contains(&next) => return None,
+                Some(next) => passed.push(next),
+            }
+        }
+    }
+
     /// A proposal is acknowledged: its command was accepted, now or before, or else is rejected.
     pub(super) fn acknowledge(&mut self, node: usize, proposal: u64) {
         let command = self.proposals[proposal as usize - 1];
--- a/crates/replication/tests/replication/model/mod.rs
+++ b/crates/replication/tests/replication/model/mod.rs
@@ -27,6 +27,8 @@
 /// Compaction that happens late, and with every command.
 const COMPACT_LATE: usize = 256;
 const COMPACT_AT_ONCE: usize = 0;
+/// How many redirects callers follow.
+const MAX_REDIRECTS: usize = 2;
 /// Proposals in a world where they are sent again.
 const MAX_PROPOSALS: usize = 5;
 const NOTHING_LOST: &str = "nothing acknowledged can be lost, and no answer is without it";
@@ -94,6 +96,10 @@
         vec![
             Property::always(NOTHING_LOST, |_, state: &Cluster| state.violation().is_none()),
             Property::always("one holder of the lease", |_, state: &Cluster| state.leaders().len() <= 1),
+            Property::always("callers are redirected twice at most", |_, state: &Cluster| {
+                let mut redirects = state.present().into_iter().map(|node| state.redirects_from(node));
+                redirects.all(|count| count.is_some_and(|count| count <= MAX_REDIRECTS))
+            }),
             Property::sometimes("a view is activated on the way", |_, state: &Cluster| {
                 !state.activated_epochs.is_empty()
             }),
