control: commands on a zone's evacuation take effect in the order of their receipt

Cause: such a command has no id, and one that was held up in a queue or a thread that stood still counted as new: it undid a later one that had been acknowledged. Change: the time of receipt goes with the command, and one that would undo another received after it is left with 503 (EvacuationOrder). What is late outside of the process is still new. Timelines in tests/control/commands.rs; without the check they fail.

--- a/crates/quillpulley/src/control/api/mod.rs
+++ b/crates/quillpulley/src/control/api/mod.rs
@@ -19,6 +19,7 @@
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
+use std::time::Duration;
 use tiny_http::Request;
 
 const READER_THREADS: usize = 6;
@@ -28,6 +29,8 @@
 pub struct ApiRequest {
     /// What is asked for.
     pub operation: Operation,
+    /// When its head had been read.
+    pub received_at: Duration,
     /// Responds to the caller.
     pub responder: Responder,
 }
@@ -86,12 +89,14 @@
     D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + Send + Sync + 'static,
 {
     let (responses, pending) = mpsc::channel();
+    let reader_clock = clock.clone();
     let writer = Writer { pending: Arc::new(Mutex::new(pending)), clock, faults };
     for _ in 0..WRITER_THREADS {
         let writer = writer.clone();
         thread::Builder::new().spawn(move || writer.write_all()).map_err(HostError::Runtime)?;
     }
-    let handler: Handler = Arc::new(move |request| handle_request(request, &responses, &deliver));
+    let handler: Handler =
+        Arc::new(move |request| handle_request(request, reader_clock.now(), &responses, &deliver));
     http::serve(listener, READER_THREADS, handler)
 }
 
@@ -122,14 +127,18 @@
     }
 }
 
-fn handle_request<D>(mut request: Request, responses: &Sender<PendingResponse>, deliver: &D)
-where
+fn handle_request<D>(
+    mut request: Request,
+    received_at: Duration,
+    responses: &Sender<PendingResponse>,
+    deliver: &D,
+) where
     D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>>,
 {
     match request::parse(&mut request) {
         Ok(operation) => {
             let responder = Responder { request, responses: responses.clone() };
-            if let Err(returned) = deliver(Box::new(ApiRequest { operation, responder })) {
+            if let Err(returned) = deliver(Box::new(ApiRequest { operation, received_at, responder })) {
                 returned.responder.send(TimedResponse::without_expiry(Response::Unavailable));
             }
         }
--- a/crates/quillpulley/src/control/commands.rs
+++ b/crates/quillpulley/src/control/commands.rs
@@ -2,8 +2,10 @@
 //!
 //! Invariant: there is one command in flight at a time, and the next one is decided on a state that has every command
 //! of the log. So of two configurations with one base exactly one is applied, and a command without a clear outcome
-//! takes effect before the next one is answered, or never.
+//! takes effect before the next one is answered, or never. Commands on the evacuation of a zone take effect in the order
+//! in which they were received; one that is overtaken by a later one is left without a clear outcome.
 
+use crate::control::evacuation_order::EvacuationOrder;
 use crate::control::response::Response;
 use quillpulley_control_state::{ControlState, EvacuationDecision, ReplaceDecision};
 use quillpulley_replication::Replica;
@@ -68,7 +70,13 @@
 struct QueuedCommand<R> {
     command: Command,
     responder: R,
-    expires_at: Duration,
+    received_at: Duration,
+}
+
+impl<R> QueuedCommand<R> {
+    fn expires_at(&self) -> Duration {
+        self.received_at + RESPONSE_TIMEOUT
+    }
 }
 
 struct InFlight<R> {
@@ -85,23 +93,30 @@
     in_flight: Option<InFlight<R>>,
     next_number: u64,
     responses: Vec<(R, Response)>,
+    evacuations: EvacuationOrder,
 }
 
 impl<R> Default for CommandQueue<R> {
     fn default() -> Self {
-        CommandQueue { queued: VecDeque::new(), in_flight: None, next_number: 1, responses: Vec::new() }
+        CommandQueue {
+            queued: VecDeque::new(),
+            in_flight: None,
+            next_number: 1,
+            responses: Vec::new(),
+            evacuations: EvacuationOrder::default(),
+        }
     }
 }
 
 impl<R> CommandQueue<R> {
-    /// Queues a command that was received at `now`.
-    pub fn push(&mut self, now: Duration, command: Command, responder: R) {
+    /// Queues a command.
+    pub fn push(&mut self, received_at: Duration, command: Command, responder: R) {
         let queued: usize = self.queued.iter().map(|queued| queued.command.bytes()).sum();
         if queued + command.bytes() > MAX_QUEUED_BYTES {
             self.responses.push((responder, Response::Unavailable));
             return;
         }
-        self.queued.push_back(QueuedCommand { command, responder, expires_at: now + RESPONSE_TIMEOUT });
+        self.queued.push_back(QueuedCommand { command, responder, received_at });
     }
 
     /// Decides queued commands up to the first that has to be replicated, and returns that. Decides none while the log
@@ -119,7 +134,7 @@
     pub fn next_proposal(&mut self, state: &ControlState) -> Option<Proposal> {
         while self.in_flight.is_none() {
             let queued = self.queued.pop_front()?;
-            match decide(state, &queued.command) {
+            match self.decide_in_order(state, &queued) {
                 Decision::Respond(response) => {
                     if let Response::Invalid(reason) = &response {
                         log::info!(command:% = queued.command, reason = reason.as_str(); "command rejected");
@@ -132,8 +147,22 @@
         None
     }
 
+    /// Decides a command, unless it would undo one that was received after it.
+    fn decide_in_order(&mut self, state: &ControlState, queued: &QueuedCommand<R>) -> Decision {
+        let decision = decide(state, &queued.command);
+        let Command::Evacuate { zone, .. } = &queued.command else { return decision };
+        let would_change = matches!(decision, Decision::Propose(_));
+        if would_change && self.evacuations.is_superseded(zone, queued.received_at) {
+            log::info!(command:% = queued.command; "command overtaken by a later one on its zone");
+            return Decision::Respond(Response::Unavailable);
+        }
+        self.evacuations.record(zone, queued.received_at);
+        decision
+    }
+
     fn start(&mut self, queued: QueuedCommand<R>, payload: Vec<u8>) -> Proposal {
-        let QueuedCommand { command, responder, expires_at } = queued;
+        let expires_at = queued.expires_at();
+        let QueuedCommand { command, responder, .. } = queued;
         let number = self.next_number;
         self.next_number += 1;
         self.in_flight = Some(InFlight { number, command, responder: Some(responder), expires_at });
@@ -165,10 +194,12 @@
             let responder = command.responder.take();
             self.responses.extend(responder.map(|responder| (responder, Response::Unavailable)));
         }
-        while self.queued.front().is_some_and(|queued| queued.expires_at <= now) {
-            let expired = self.queued.pop_front();
-            self.responses.extend(expired.map(|queued| (queued.responder, Response::Unavailable)));
-        }
+        let queued = std::mem::take(&mut self.queued);
+        let (expired, waiting): (VecDeque<_>, VecDeque<_>) =
+            queued.into_iter().partition(|queued| queued.expires_at() <= now);
+        self.queued = waiting;
+        self.responses.extend(expired.into_iter().map(|queued| (queued.responder, Response::Unavailable)));
+        self.evacuations.forget_before(now.saturating_sub(RESPONSE_TIMEOUT));
     }
 
     /// Handles that this process is no longer the primary: responds to the queued commands with `response`, and to the
--- a/crates/quillpulley/src/control/mod.rs
+++ b/crates/quillpulley/src/control/mod.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod discovery;
 pub mod distribution;
+mod evacuation_order;
 pub mod replica_host;
 pub mod response;
 
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -79,11 +79,11 @@
     pub fn handle_request(&mut self, request: ApiRequest) {
         let now = self.clock.now();
         self.update_leadership(now);
-        let ApiRequest { operation, responder } = request;
+        let ApiRequest { operation, received_at, responder } = request;
         match (self.replica.lease_until(now), operation) {
             (_, Operation::ReadStatus) => responder.send(status::response(&self.snapshot(), now)),
             (None, _) => responder.send(self.snapshot().redirect(now)),
-            (Some(_), Operation::Execute(command)) => self.commands.push(now, command, responder),
+            (Some(_), Operation::Execute(command)) => self.commands.push(received_at, command, responder),
             (Some(lease_end), Operation::ReadConfiguration) => {
                 responder.send(self.snapshot().configuration(lease_end));
             }
--- a/crates/quillpulley/tests/control/commands.rs
+++ b/crates/quillpulley/tests/control/commands.rs
@@ -4,7 +4,7 @@
 //! replicas report, and one for what is proposed and answered. Configurations are written `base>version`, with a
 //! letter where two of the same version differ, `+zone` and `-zone` are evacuations. `commit N` and `fail N`
 //! are the outcomes of command N; with `stale`, the lease has gone by then. Answers are `SENT: answer`, proposals
-//! `N: SENT`.
+//! `N: SENT`. `20@+zone` was received at 20 ms, and comes to the queue only now.
 
 use crate::configuration;
 use quillpulley::control::commands::{Command, CommandQueue, Proposal};
@@ -34,7 +34,11 @@
 impl Harness {
     fn send(&mut self, now: Duration, sent: &str) {
         for text in sent.split_whitespace() {
-            self.commands.push(now, command(text), text.to_string());
+            let (received_at, text) = match text.split_once('@') {
+                Some((time, text)) => (Duration::from_millis(time.parse().expect("a time")), text),
+                None => (now, text),
+            };
+            self.commands.push(received_at, command(text), text.to_string());
         }
     }
 
@@ -229,3 +233,51 @@
     }
     assert_eq!(commands.take_responses(), [(8, Response::Unavailable)]);
 }
+
+#[test]
+fn an_evacuation_that_was_held_up_does_not_undo_a_later_command() {
+    // It began, ended, and the first command comes once more out of a thread that stood still.
+    play(
+        "  0 | +a    |          | proposed 1
+          10 |       | commit 1 | +a acknowledged
+          20 | -a    |          | proposed 2
+          30 |       | commit 2 | -a acknowledged
+          40 | 15@+a |          | +a unavailable
+          50 | -a    |          | -a acknowledged
+          60 | 55@+b |          | proposed 3
+          70 |       | commit 3 | +b acknowledged
+          80 | +a    |          | proposed 4
+          90 |       | commit 4 | +a acknowledged",
+    );
+    // The end found nothing to end, and holds all the same; as does one whose outcome is unknown.
+    play(
+        "  0 | -a         |                | -a acknowledged
+          10 | +b         |                | proposed 1
+          20 |            | commit 1 stale | +b unavailable
+          30 | 25@+a 5@-b |                | proposed 2
+          40 |            | commit 2       | +a acknowledged, -b unavailable
+          50 | 45@-a      |                | proposed 3",
+    );
+}
+
+#[test]
+fn an_evacuation_that_was_held_up_and_asks_for_what_holds_is_acknowledged() {
+    play(
+        "  0 | +a   |          | proposed 1
+          10 |      | commit 1 | +a acknowledged
+          20 | +a   |          | +a acknowledged
+          30 | 5@+a |          | +a acknowledged",
+    );
+}
+
+#[test]
+fn commands_that_were_received_one_after_the_other_take_effect_so_beside_one_in_flight() {
+    play(
+        "  0 | 0>5   |          | proposed 1
+          10 | +a    |          |
+          20 | -a    |          |
+          30 |       | commit 1 | proposed 2, 0>5 acknowledged
+          40 |       | commit 2 | proposed 3, +a acknowledged
+          50 |       | commit 3 | -a acknowledged",
+    );
+}
--- a/crates/quillpulley/tests/operators/random.rs
+++ b/crates/quillpulley/tests/operators/random.rs
@@ -10,6 +10,8 @@
 
 const OPERATIONS: usize = 40;
 const OPERATORS: usize = 4;
+/// How long after a cut a primary is without its lease and has not stepped down.
+const LEASE_LOST_MS: std::ops::Range<u64> = 650..1250;
 /// How soon after the last fault all commands are answered.
 const RECOVERY_MS: u64 = 8000;
 
@@ -25,7 +27,7 @@
 pub fn play(seed: u64, count: usize, fault: Fault) -> World {
     let mut random = fastrand::Rng::with_seed(seed);
     let network = if random.bool() {
-        NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, duplicated: 30, delayed: 20 }
+        NetworkOptions { min_delay: 1, max_delay: 60, lost: 20, duplicated: 30, delayed: 20, late: 0 }
     } else {
         NetworkOptions::default()
     };
@@ -41,10 +43,17 @@
     world
 }
 
+/// The leader is cut off until its lease has ended, and no longer than it goes on without one.
+fn lose_lease_shortly(world: &mut World, leader: usize, random: &mut fastrand::Rng) {
+    world.isolate(leader, true);
+    world.run_for(random.u64(LEASE_LOST_MS));
+    world.network.heal_all();
+}
+
 fn perform_random_operation(world: &mut World, random: &mut fastrand::Rng) {
     let any = random.usize(0..world.machines.len());
     let leader = world.leader().unwrap_or(any);
-    match random.usize(0..30) {
+    match random.usize(0..32) {
         0..=1 => world.kill(leader),
         2 => world.kill(any),
         3..=6 => (0..world.machines.len()).for_each(|machine| world.start(machine)),
@@ -61,6 +70,7 @@
         25 => (0..world.machines.len()).for_each(|machine| world.set_disk(machine, DiskMode::Healthy)),
         26 => (0..world.machines.len()).for_each(|machine| world.kill(machine)),
         27 => world.shut_down(leader),
+        28..=29 => lose_lease_shortly(world, leader, random),
         _ if world.is_complete() => {
             world.wipe(any);
             world.start(any);
