--- a/crates/quillpulley/src/control/replica_host/status.rs
+++ b/crates/quillpulley/src/control/replica_host/status.rs
@@ -31,6 +31,7 @@
         "Covered": durability.is_some_and(DurabilityStatus::is_covered),
         "MembersDoNotSurvive": durability.map(|status| status.members.kinds()),
         "WitnessesDoNotSurvive": durability.map(|status| status.witnesses.kinds()),
+        "SpareWitnesses": snapshot.replica.spare_witnesses(now),
     });
     status.encode().into_bytes()
 }
--- a/crates/replication/src/replica/mod.rs
+++ b/crates/replication/src/replica/mod.rs
@@ -27,7 +27,9 @@
 use crate::primary::PrimaryState;
 use crate::progress::ProgressTracker;
 use crate::shutdown::GracefulShutdown;
-use crate::view::{bootstrap_view, is_member, is_witness, members, voters, BOOTSTRAP_EPOCH};
+use crate::view::{
+    bootstrap_view, is_member, is_witness, majority, members, voters, witness_sets, BOOTSTRAP_EPOCH,
+};
 use crate::view_change::ViewChange;
 use crate::witness::Witness;
 use crate::write_queue::{Completion, WriteQueue};
@@ -239,6 +241,15 @@
         self.view().map(|view| self.cluster().durability_of(view))
     }
 
+    /// Returns how many of the witnesses that respond may be lost before no majority is left, if this node is the primary.
+    /// Others do not know who responds. The primary itself counts as one of them.
+    pub fn spare_witnesses(&self, now: Duration) -> Option<usize> {
+        let primary = self.primary.as_ref()?;
+        let responds = |node: &&NodeId| **node == self.options.me || self.peers.is_responsive(now, **node);
+        let spare = |set: &[NodeId]| set.iter().filter(responds).count().saturating_sub(majority(set.len()));
+        witness_sets(primary.view()).into_iter().map(spare).min()
+    }
+
     /// Handles the messages to this node itself, hands the next write to the host, and reports a new role.
     fn flush(&mut self) {
         while let Some(body) = self.outbox.pop_loopback() {
--- a/crates/replication/tests/replication/harness/inspect.rs
+++ b/crates/replication/tests/replication/harness/inspect.rs
@@ -60,6 +60,12 @@
         self.leader().and_then(|leader| self.machines[leader].replica.as_ref()).and_then(Replica::durability)
     }
 
+    /// How many witnesses may be lost before the leader has no majority.
+    pub fn spare_witnesses(&self) -> Option<usize> {
+        let leader = self.leader()?;
+        self.machines[leader].replica.as_ref().and_then(|replica| replica.spare_witnesses(self.local(leader)))
+    }
+
     /// Returns whether a process that is shutting down may exit.
     pub fn can_exit(&self, machine: usize) -> bool {
         self.machines[machine].replica.as_ref().is_some_and(Replica::can_exit)
--- a/crates/replication/tests/replication/scenarios/mod.rs
+++ b/crates/replication/tests/replication/scenarios/mod.rs
@@ -2,6 +2,7 @@
 
 mod failure_domains;
 mod graceful_shutdown;
+mod loss_orders;
 mod lost_machines;
 pub mod operators;
 mod partition_times;
