replication: a primary whose clock stood still has its lease granted again before it relies on it

Change: Event::ClockJumped makes the primary forget all grants and ask again; it neither steps down nor loses a command in the log over a round trip.

--- a/crates/replication/src/event.rs
+++ b/crates/replication/src/event.rs
@@ -41,6 +41,8 @@
         /// The payload.
         payload: Vec<u8>,
     },
+    /// The monotonic clock has stood still for a while, with the whole machine. Due before anything else is handled.
+    ClockJumped,
     /// Time has passed. Due every 50 ms.
     Tick,
     /// The process is about to shut down: a primary hands over, and the node does not campaign any more.
--- a/crates/replication/src/lease.rs
+++ b/crates/replication/src/lease.rs
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Forgets all rounds and grants: the times at which they were sent do not count any more.
+    pub fn forget_grants(&mut self) {
+        self.rounds.clear();
+        self.granted.clear();
+    }
+
     /// Records that an answer of a witness was received.
     pub fn record_answer(&mut self, now: Duration, witness: NodeId) {
         self.answered.insert(witness, now);
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -36,6 +36,8 @@
 pub(crate) struct PrimaryState {
     view: View,
     elected_at: Duration,
+    /// Since when it asks for a lease without having forgotten one: its election, or the latest jump of its clock.
+    lease_requested_since: Duration,
     /// The end of the log with which it was elected. All members hold the log up to there, so it is committed.
     inherited_index: u64,
     lease: Lease,
@@ -49,6 +51,7 @@
         PrimaryState {
             view,
             elected_at: now,
+            lease_requested_since: now,
             inherited_index,
             lease,
             next_heartbeat: now,
@@ -70,6 +73,16 @@
         self.elected_at
     }
 
+    pub fn lease_requested_since(&self) -> Duration {
+        self.lease_requested_since
+    }
+
+    /// Forgets the lease, which has to be granted anew.
+    pub fn forget_lease(&mut self, now: Duration) {
+        self.lease.forget_grants();
+        self.lease_requested_since = now;
+    }
+
     pub fn inherited_index(&self) -> u64 {
         self.inherited_index
     }
--- a/crates/replication/src/replica/mod.rs
+++ b/crates/replication/src/replica/mod.rs
@@ -134,6 +134,7 @@
             }
             Event::WriteCompleted { ticket, result: Err(_) } => self.handle_write_failure(ticket),
             Event::Propose { proposal, payload } => self.propose(proposal, payload),
+            Event::ClockJumped => self.handle_clock_jump(),
             Event::Tick => self.tick(),
             Event::Shutdown => self.begin_shutdown(),
         }
--- a/crates/replication/src/replica/primary.rs
+++ b/crates/replication/src/replica/primary.rs
@@ -1,6 +1,6 @@
 //! The active primary: its lease, its proposals, and what is committed.
 
-use log::info;
+use log::{info, warn};
 use quillpulley_protocol::{Body, LeaseGrant, LeaseRequest, NodeId, View};
 use std::time::Duration;
 
@@ -151,15 +151,27 @@
         }
     }
 
+    /// Handles that the clock has stood still: how long ago the lease was granted is not known. It counts again once a
+    /// round that begins now was granted.
+    pub(super) fn handle_clock_jump(&mut self) {
+        let Some(primary) = &mut self.primary else { return };
+        warn!(node:% = self.options.me; "the clock has stood still: the lease has to be granted again");
+        primary.forget_lease(self.now);
+        self.send_heartbeat();
+    }
+
     /// Without the lease nothing is acknowledged. A primary that has been without it for long steps down.
     fn check_lease(&mut self) {
         if self.holds_lease(self.now) {
             return;
         }
-        self.abandon_logged_proposals();
         let Some(primary) = &self.primary else { return };
+        let requested_since = primary.lease_requested_since();
+        if self.now >= requested_since + self.options.heartbeat {
+            self.abandon_logged_proposals();
+        }
         let lease = self.options.lease;
-        let end = self.lease_end().unwrap_or_default().max(primary.elected_at() + lease);
+        let end = self.lease_end().unwrap_or_default().max(requested_since + lease);
         if self.now > end + lease / 2 {
             self.step_down(ResignReason::LeaseLost);
         }
--- a/crates/replication/tests/replication/harness/faults.rs
+++ b/crates/replication/tests/replication/harness/faults.rs
@@ -60,6 +60,8 @@
             buffered_reads: 0,
             writes: 0,
             elected_in: None,
+            clock_lag: 0,
+            paused_at: None,
             zone: number % ZONES,
         });
         number
@@ -113,6 +115,8 @@
         slot.buffered_reads = 0;
         slot.writes = 0;
         slot.elected_in = None;
+        slot.clock_lag = 0;
+        slot.paused_at = None;
         let process = slot.process;
         self.note(machine, "starts");
         self.check_state(machine);
@@ -193,9 +197,27 @@
         self.machines[machine].frozen = true;
     }
 
+    /// Freezes a machine with its clock.
+    pub fn pause(&mut self, machine: usize) {
+        if self.is_running(machine) && !self.machines[machine].frozen {
+            self.machines[machine].paused_at = Some(self.now);
+            self.freeze(machine);
+        }
+    }
+
+    /// The clock goes on from where it stood still; the time of day tells the process so.
+    fn end_pause(&mut self, machine: usize) {
+        let Some(paused_at) = self.machines[machine].paused_at.take() else { return };
+        self.machines[machine].clock_lag += self.now - paused_at;
+        if self.options.notices_clock_jumps {
+            self.handle(machine, Event::ClockJumped);
+        }
+    }
+
     pub fn resume(&mut self, machine: usize) {
         self.note(machine, "resumes");
         self.machines[machine].frozen = false;
+        self.end_pause(machine);
         // What was about to be written before the process was frozen goes first.
         for _ in 0..std::mem::take(&mut self.machines[machine].buffered_reads) {
             self.serve_read(machine);
--- a/crates/replication/tests/replication/harness/timeline.rs
+++ b/crates/replication/tests/replication/harness/timeline.rs
@@ -12,6 +12,7 @@
 //! | operations | effect |
 //! | --- | --- |
 //! | `start` `kill` `power-loss` `shutdown` `freeze` `resume` | of the machine's process |
+//! | `pause` | freezes the machine with its clock, until `resume` |
 //! | `wipe` `hang` `slow` `full` `repair` | of its disk |
 //! | `partition` `partition-in` `partition-out` `partition:B` `heal` `heal:B` | of its links, all of them or those to one machine |
 //! | `propose=N` `resend=N` | proposes command N, or sends the same command once more |
@@ -95,6 +96,7 @@
             "wipe" => world.wipe(machine),
             "shutdown" => world.shut_down(machine),
             "freeze" => world.freeze(machine),
+            "pause" => world.pause(machine),
             "resume" => world.resume(machine),
             "hang" => world.set_disk(machine, DiskMode::Hangs),
             "slow" => world.set_disk(machine, DiskMode::Slow),
--- a/crates/replication/tests/replication/harness/world.rs
+++ b/crates/replication/tests/replication/harness/world.rs
@@ -43,6 +43,8 @@
     /// Whether every message is checked against the disk of its sender, and every lease against the grants that were
     /// sent. Off where the other invariants have to catch a fault.
     pub checks_messages: bool,
+    /// Processes notice that their clock has stood still.
+    pub notices_clock_jumps: bool,
     /// A machine comes back as the same node after its disk was wiped: a fault that has to be caught.
     pub keeps_identity: bool,
 }
@@ -62,6 +64,7 @@
             compact_entries: 8,
             clock_drift: 0,
             checks_messages: true,
+            notices_clock_jumps: true,
             keeps_identity: false,
         }
     }
@@ -99,6 +102,9 @@
     pub(super) writes: u64,
     /// The epoch in which its process became the primary, if it is.
     pub(super) elected_in: Option<u64>,
+    /// How long its clock has stood still since the start of the process, and since when it does.
+    pub(super) clock_lag: u64,
+    pub(super) paused_at: Option<u64>,
     /// Its zone, of `ZONES`.
     pub zone: usize,
 }
--- a/crates/replication/tests/replication/operations.rs
+++ b/crates/replication/tests/replication/operations.rs
@@ -32,6 +32,8 @@
     ShutDown,
     Freeze,
     Resume,
+    /// The machine stands still with its clock, until it resumes.
+    Pause,
     HangDisk,
     FillDisk,
     RepairDisk,
@@ -88,6 +90,7 @@
         Operation::RestartUnderLease => restart_under_lease(world),
         Operation::ShutDown if runs => world.shut_down(machine),
         Operation::Freeze if runs => world.freeze(machine),
+        Operation::Pause if runs => world.pause(machine),
         Operation::Resume if runs => world.resume(machine),
         Operation::HangDisk => world.set_disk(machine, DiskMode::Hangs),
         Operation::FillDisk => world.set_disk(machine, DiskMode::Full),
--- /dev/null
+++ b/crates/replication/tests/replication/scenarios/clock_jumps.rs
@@ -0,0 +1,53 @@
+//! Machines that stand still with their clocks: a virtual machine that is paused, or moved to another host.
+
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+use super::{three, StableCluster, SEEDS};
+use crate::harness::WorldOptions;
+
+/// The primary stands still until another leads, and wakes with nearly all of its lease left by its own clock.
+const REPLACED: &str = "
+    time | P        | B | C | *
+       0 | pause    |   |   |
+    2500 |          |   |   | propose=1
+    2800 |          |   |   | acked=1
+    2800 | resume   |   |   |
+    2800 | no-lease |   |   |
+    4000 | deposed  |   |   |";
+
+#[test]
+fn a_primary_whose_clock_stood_still_has_no_lease_when_it_wakes() {
+    three(REPLACED);
+}
+
+#[test]
+fn a_primary_that_does_not_notice_that_its_clock_stood_still_is_caught() {
+    let is_caught = |seed| {
+        let options = WorldOptions { seed, notices_clock_jumps: false, ..WorldOptions::default() };
+        let play = || StableCluster::with(options, ["P", "B", "C"]).play(REPLACED);
+        catch_unwind(AssertUnwindSafe(play)).is_err()
+    };
+    assert!((0..SEEDS).all(is_caught));
+}
+
+#[test]
+fn a_primary_that_nobody_has_replaced_goes_on_after_a_round_trip() {
+    three(
+        "time | P               | B       | C       | *
+            0 | pause           |         |         |
+          300 | resume          |         |         |
+          300 | no-lease        |         |         |
+          355 | leads propose=1 |         |         |
+          555 | acked=1         | hints:P | hints:P |
+         5000 | leads           | hints:P | hints:P |",
+    );
+}
+
+#[test]
+fn a_command_beside_a_step_of_the_time_of_day_is_acknowledged() {
+    three(
+        "time | P                        | B | C
+            0 | propose=1 pause resume   |   |
+          200 | leads acked=1            |   |",
+    );
+}
--- a/crates/replication/tests/replication/scenarios/mod.rs
+++ b/crates/replication/tests/replication/scenarios/mod.rs
@@ -1,5 +1,6 @@
 //! Faults one by one, as timelines. Each is played with several seeds.
 
+mod clock_jumps;
 mod failure_domains;
 mod graceful_shutdown;
 mod loss_orders;
