control: a lease does not count after the machine stood still with its clock

The time of day against the monotonic clock shows the jump (from 50 ms on). The host has the replica ask for its lease again before it decides anything, and a response that was decided before is written as 503. A step of the time of day costs a round trip. tests/control/clock.rs.

--- a/crates/quillpulley/src/control/api/mod.rs
+++ b/crates/quillpulley/src/control/api/mod.rs
@@ -120,7 +120,7 @@
     fn write(&self, request: Request, response: TimedResponse) {
         let response = match self.faults.skip_lease_check() {
             true => response.decided().clone(),
-            false => response.at(self.clock.now()),
+            false => response.by(&self.clock),
         };
         let response = render::render(request.url(), response);
         http::respond(request, response);
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -29,6 +29,8 @@
 /// The state of a control node.
 pub struct ControlHost {
     clock: Clock,
+    /// The jumps of the clock that the replica knows of.
+    known_jumps: u64,
     me: NodeId,
     settings: Settings,
     replica: Replica<ControlState>,
@@ -55,6 +57,7 @@
             discovery: ServiceDiscovery::new(fetcher, rate_per_s),
             seeds: Seeds::new(now, settings.seeds.clone()),
             settings,
+            known_jumps: clock.jumps(),
             clock,
             me,
             replica,
@@ -70,6 +73,7 @@
 
     /// Handles the outcome of a write to the disk.
     pub fn handle_write_completed(&mut self, completion: WriteCompletion) {
+        self.observe_clock();
         let WriteCompletion { ticket, result } = completion;
         self.replicate(Event::WriteCompleted { ticket, result });
         self.advance();
@@ -77,15 +81,16 @@
 
     /// Handles a request of an operator.
     pub fn handle_request(&mut self, request: ApiRequest) {
+        self.observe_clock();
         let now = self.clock.now();
         self.update_leadership(now);
         let ApiRequest { operation, received_at, responder } = request;
         match (self.replica.lease_until(now), operation) {
-            (_, Operation::ReadStatus) => responder.send(status::response(&self.snapshot(), now)),
-            (None, _) => responder.send(self.snapshot().redirect(now)),
+            (_, Operation::ReadStatus) => self.respond(responder, status::response(&self.snapshot(), now)),
+            (None, _) => self.respond(responder, self.snapshot().redirect(now)),
             (Some(_), Operation::Execute(command)) => self.commands.push(received_at, command, responder),
             (Some(lease_end), Operation::ReadConfiguration) => {
-                responder.send(self.snapshot().configuration(lease_end));
+                self.respond(responder, self.snapshot().configuration(lease_end));
             }
         }
         self.advance();
@@ -93,6 +98,7 @@
 
     /// Handles a page of the platform's list, or the failure to get one.
     pub fn handle_page(&mut self, fetched: Fetched) {
+        self.observe_clock();
         let now = self.clock.now();
         self.update_leadership(now);
         let published = self.publisher.server_count();
@@ -105,6 +111,7 @@
 
     /// Handles an event of the sockets.
     pub fn handle_peer_event(&mut self, event: PeerEvent) {
+        self.observe_clock();
         for event in self.links.handle(self.clock.now(), event) {
             self.handle_link_event(event);
         }
@@ -147,6 +154,7 @@
 
     /// Notes that time has passed. Due every 50 ms.
     pub fn tick(&mut self) {
+        self.observe_clock();
         let now = self.clock.now();
         self.replicate(Event::Tick);
         self.update_leadership(now);
@@ -163,6 +171,15 @@
         self.advance();
     }
 
+    /// Has the replica forget a lease that was granted before the clock stood still. Due before anything is decided.
+    fn observe_clock(&mut self) {
+        let jumps = self.clock.jumps();
+        if jumps != self.known_jumps {
+            self.known_jumps = jumps;
+            self.replicate(Event::ClockJumped);
+        }
+    }
+
     /// Begins a graceful shutdown: hands over the leadership.
     pub fn begin_shutdown(&mut self) {
         self.replicate(Event::Shutdown);
@@ -286,10 +303,14 @@
     /// Sends the responses that were decided under a lease that ends at `lease_end`.
     fn send_responses(&mut self, lease_end: Duration) {
         for (responder, response) in self.commands.take_responses() {
-            responder.send(TimedResponse::until(lease_end, response));
+            self.respond(responder, TimedResponse::until(lease_end, response));
         }
     }
 
+    fn respond(&self, responder: Responder, response: TimedResponse) {
+        responder.send(response.decided_after(self.known_jumps));
+    }
+
     fn update_directory(&mut self, now: Duration) {
         if let Some(directory) = self.relay.changed_directory(now) {
             self.directory.set(directory);
--- a/crates/quillpulley/src/control/response.rs
+++ b/crates/quillpulley/src/control/response.rs
@@ -4,6 +4,7 @@
 //! written by another, and the process may be suspended between the two. So a response carries the end of the lease
 //! under which it was decided, and the writer checks the clock again.
 
+use crate::control::clock::Clock;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,17 +43,24 @@
 pub struct TimedResponse {
     response: Response,
     expires_at: Duration,
+    /// How many jumps of the clock were known when it was decided.
+    known_jumps: u64,
 }
 
 impl TimedResponse {
     /// Creates a response that relies on a lease which ends at `expires_at`.
     pub fn until(expires_at: Duration, response: Response) -> Self {
-        TimedResponse { response, expires_at }
+        TimedResponse { response, expires_at, known_jumps: 0 }
     }
 
     /// Creates a response that relies on no lease.
     pub fn without_expiry(response: Response) -> Self {
-        TimedResponse { response, expires_at: Duration::MAX }
+        TimedResponse { response, expires_at: Duration::MAX, known_jumps: 0 }
+    }
+
+    /// Returns the same response, decided when so many jumps of the clock were known.
+    pub fn decided_after(self, known_jumps: u64) -> Self {
+        TimedResponse { known_jumps, ..self }
     }
 
     /// Returns the response as it was decided.
@@ -73,4 +81,14 @@
             Response::Unavailable
         }
     }
+
+    /// Returns the response at this moment of a clock. After a jump of the clock nothing is known of a lease that was
+    /// held before.
+    pub fn by(self, clock: &Clock) -> Response {
+        let relies_on_lease = self.expires_at != Duration::MAX;
+        if relies_on_lease && clock.jumps() != self.known_jumps {
+            return Response::Unavailable;
+        }
+        self.at(clock.now())
+    }
 }
--- a/crates/quillpulley/tests/control/main.rs
+++ b/crates/quillpulley/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod api;
+mod clock;
 mod cluster;
 mod commands;
 mod compatibility;
--- a/crates/quillpulley/tests/control/processes.rs
+++ b/crates/quillpulley/tests/control/processes.rs
@@ -227,6 +227,10 @@
     };
     let text = cluster.until("every loss covered", is_covered);
     assert!(text.contains(r#""Role":"primary""#), "{text}");
+    cluster.until("one witness to spare", |cluster| {
+        let response = cluster.call(primary, &Operation::status())?;
+        String::from_utf8_lossy(&response.body).contains(r#""SpareWitnesses":1"#).then_some(())
+    });
     for index in 0..3 {
         let place = format!(r#"{{"Address":"{}","Zone":"zone-{index}""#, cluster.address(index));
         assert!(text.contains(&place), "{text}");
