--- a/crates/replication/tests/replication/harness/faults.rs
+++ b/crates/replication/tests/replication/harness/faults.rs
@@ -62,6 +62,8 @@
             elected_in: None,
             clock_lag: 0,
             paused_at: None,
+            quota: None,
+            postponed: Vec::new(),
             zone: number % ZONES,
         });
         number
@@ -116,6 +118,7 @@
         slot.writes = 0;
         slot.elected_in = None;
         slot.clock_lag = 0;
+        slot.postponed.clear();
         slot.paused_at = None;
         let process = slot.process;
         self.note(machine, "starts");
--- a/crates/replication/tests/replication/harness/mod.rs
+++ b/crates/replication/tests/replication/harness/mod.rs
@@ -9,6 +9,7 @@
 mod inspect;
 pub mod messages;
 pub mod network;
+pub mod quota;
 pub mod timeline;
 pub mod world;
 
--- a/crates/replication/tests/replication/harness/world.rs
+++ b/crates/replication/tests/replication/harness/world.rs
@@ -11,6 +11,7 @@
 use super::disk::{DiskImage, DiskMode};
 use super::messages;
 use super::network::{Network, NetworkOptions};
+use super::quota::Quota;
 
 /// Machines stand in so many zones in turn.
 pub const ZONES: usize = 5;
@@ -105,18 +106,51 @@
     /// How long its clock has stood still since the start of the process, and since when it does.
     pub(super) clock_lag: u64,
     pub(super) paused_at: Option<u64>,
+    /// Its share of the processor, if that is limited.
+    pub quota: Option<Quota>,
+    /// Events that came while its quota was spent.
+    pub(super) postponed: Vec<Event>,
     /// Its zone, of `ZONES`.
     pub zone: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum ScheduledEvent {
-    Deliver { to: usize, id: NodeId, from: NodeId, body: Body },
-    WriteDone { machine: usize, process: u64, ticket: u64 },
-    Tick { machine: usize, process: u64 },
-    Connect { machine: usize, process: u64, other: usize },
-    Disconnect { machine: usize, process: u64, other: usize, id: NodeId },
-    Read { machine: usize, process: u64 },
+    Deliver {
+        to: usize,
+        id: NodeId,
+        from: NodeId,
+        body: Body,
+    },
+    WriteDone {
+        machine: usize,
+        process: u64,
+        ticket: u64,
+    },
+    Tick {
+        machine: usize,
+        process: u64,
+    },
+    Connect {
+        machine: usize,
+        process: u64,
+        other: usize,
+    },
+    Disconnect {
+        machine: usize,
+        process: u64,
+        other: usize,
+        id: NodeId,
+    },
+    Read {
+        machine: usize,
+        process: u64,
+    },
+    /// The quota of a process begins anew.
+    QuotaRenewed {
+        machine: usize,
+        process: u64,
+    },
 }
 
 pub struct World {
@@ -203,6 +237,13 @@
                 self.write_done(machine, process, ticket)
             }
             ScheduledEvent::Read { machine, process } => self.complete_read(machine, process),
+            ScheduledEvent::QuotaRenewed { machine, process } => {
+                if self.runs_process(machine, process) {
+                    for event in std::mem::take(&mut self.machines[machine].postponed) {
+                        self.handle(machine, event);
+                    }
+                }
+            }
             ScheduledEvent::Tick { machine, process } => {
                 if self.runs_process(machine, process) {
                     if !self.machines[machine].frozen {
@@ -272,6 +313,9 @@
 
     pub(super) fn handle(&mut self, machine: usize, event: Event) {
         let now = self.local(machine);
+        if self.postpone(machine, &event) {
+            return;
+        }
         let slot = &mut self.machines[machine];
         let Some(replica) = &mut slot.replica else { return };
         if slot.frozen {
@@ -287,6 +331,21 @@
         self.check_leases();
     }
 
+    /// Postpones an event to when the process may work again, if it has spent its quota.
+    fn postpone(&mut self, machine: usize, event: &Event) -> bool {
+        let slot = &mut self.machines[machine];
+        let wait = slot.quota.map_or(0, |quota| quota.wait_at(self.now));
+        if wait == 0 || slot.replica.is_none() {
+            return false;
+        }
+        slot.postponed.push(event.clone());
+        if slot.postponed.len() == 1 {
+            let process = slot.process;
+            self.schedule(wait, ScheduledEvent::QuotaRenewed { machine, process });
+        }
+        true
+    }
+
     fn act(&mut self, machine: usize, action: Action) {
         match action {
             Action::Send { to, body } => self.send(machine, to, body),
