--- a/crates/membership/tests/monitoring.rs
+++ b/crates/membership/tests/monitoring.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+const QUOTA_PERIOD_MS: u64 = 100;
 const DELAY: Duration = Duration::from_millis(20);
 
 fn milliseconds(time: u64) -> Duration {
@@ -33,8 +34,12 @@
     nodes: Vec<Monitor>,
     /// Nodes that neither send nor receive nor tick.
     still: Vec<bool>,
+    /// Nodes whose datagrams are lost.
+    mute: Vec<bool>,
     /// Which nodes are on the other side of a cut.
     beyond: Vec<bool>,
+    /// Where the periods of each node's quota begin, in milliseconds; none if it is not limited.
+    quota_offsets: Vec<Option<u64>>,
     loss: f64,
     random: fastrand::Rng,
     flights: BinaryHeap<Reverse<Flight>>,
@@ -54,7 +59,9 @@
                 .map(|node| Monitor::new(MonitorOptions::new(&name(node), node as u64)))
                 .collect(),
             still: vec![false; count],
+            mute: vec![false; count],
             beyond: vec![false; count],
+            quota_offsets: vec![None; count],
             loss,
             random: fastrand::Rng::with_seed(7),
             flights: BinaryHeap::new(),
@@ -89,7 +96,7 @@
     fn send(&mut self, from: usize, to: SocketAddr, body: Body) {
         let to = (0..self.nodes.len()).find(|node| address(*node) == to).expect("the address of a node");
         self.sent += 1;
-        if self.random.f64() >= self.loss && self.beyond[from] == self.beyond[to] {
+        if self.random.f64() >= self.loss && self.beyond[from] == self.beyond[to] && !self.mute[from] {
             self.flights.push(Reverse((self.now + DELAY, self.sent, to, from)));
             self.bodies.insert(self.sent, body);
         }
@@ -98,7 +105,8 @@
     fn run(&mut self, until: Duration) {
         loop {
             let awake = (0..self.nodes.len()).filter(|node| !self.still[*node]);
-            let tick = awake.map(|node| (self.nodes[node].next_tick().max(self.now), node)).min();
+            let tick_of = |node: usize| self.working_from(node, self.nodes[node].next_tick().max(self.now));
+            let tick = awake.map(|node| (tick_of(node), node)).min();
             let arrival = self.flights.peek().map(|Reverse(flight)| *flight);
             let tick_time = tick.map_or(Duration::MAX, |(time, _)| time);
             let arrival_time = arrival.map_or(Duration::MAX, |(time, ..)| time);
@@ -109,7 +117,12 @@
             match (arrival, tick) {
                 (Some((time, number, to, from)), _) if time <= tick_time => {
                     self.flights.pop();
-                    self.arrive(number, to, from);
+                    let read_at = self.working_from(to, time);
+                    if read_at > time {
+                        self.flights.push(Reverse((read_at, number, to, from)));
+                    } else {
+                        self.arrive(number, to, from);
+                    }
                 }
                 (_, Some((_, node))) => self.handle(node, Event::Tick),
                 _ => {}
@@ -118,6 +131,17 @@
         self.now = until;
     }
 
+    /// The first time from `time` on at which a node works: it does so for the first tenth of each period.
+    fn working_from(&self, node: usize, time: Duration) -> Duration {
+        let Some(offset) = self.quota_offsets[node] else { return time };
+        let since = time.as_micros() as u64 + 1000 * (QUOTA_PERIOD_MS - offset);
+        let phase = since % (1000 * QUOTA_PERIOD_MS);
+        if phase < 1000 * QUOTA_PERIOD_MS / 10 || time == Duration::MAX {
+            return time;
+        }
+        time + Duration::from_micros(1000 * QUOTA_PERIOD_MS - phase)
+    }
+
     fn arrive(&mut self, number: u64, to: usize, from: usize) {
         let body = self.bodies.remove(&number).expect("what was sent");
         if !self.still[to] {
@@ -273,3 +297,76 @@
     monitor.handle(milliseconds(4_000), Event::Received(ack(latest), address(1)), &mut actions);
     assert!(monitor.suspects().is_empty());
 }
+
+#[test]
+fn nodes_that_stand_still_for_nine_tenths_of_the_time_suspect_nobody() {
+    for seed in 0..1000 {
+        let mut network = Network::new(6, 0.0);
+        let mut offsets = fastrand::Rng::with_seed(seed);
+        let limited = offsets.usize(1..=6);
+        for node in 0..limited {
+            network.quota_offsets[node] = Some(offsets.u64(0..QUOTA_PERIOD_MS));
+        }
+        network.run(milliseconds(10_000));
+        assert_eq!(network.suspicions, [], "seed {seed}");
+        // One that has really gone is suspected all the same.
+        network.still[5] = true;
+        network.run(milliseconds(13_000));
+        assert_eq!(network.suspecting(&name(5)).len(), 3, "seed {seed}");
+    }
+}
+
+#[test]
+fn exactly_as_many_monitors_as_configured_have_the_highest_ranks() {
+    // Every set of nodes, from two to eight, agrees without asking anybody.
+    for count in 2..=8 {
+        let network = Network::new(count, 0.0);
+        for node in 0..count {
+            assert_eq!(network.monitors(node).len(), 3.min(count - 1), "{count} nodes, node {node}");
+        }
+    }
+}
+
+#[test]
+fn a_node_whose_datagrams_are_lost_suspects_nobody_though_it_hears_the_others() {
+    let mut network = Network::new(20, 0.0);
+    network.run(milliseconds(5_000));
+    network.mute[4] = true;
+    network.run(milliseconds(15_000));
+    assert!(network.suspicions.iter().all(|(_, monitor, _)| *monitor != 4), "{:?}", network.suspicions);
+    assert_eq!(network.suspecting(&name(4)), network.monitors(4));
+}
+
+#[test]
+fn of_two_the_one_that_hears_the_other_and_gets_no_answer_suspects_it() {
+    let mut pair = Network::new(2, 0.0);
+    pair.run(milliseconds(5_000));
+    pair.mute[0] = true;
+    pair.run(milliseconds(10_000));
+    assert_eq!(pair.suspecting(&name(1)), [0]);
+}
+
+#[test]
+fn a_suspicion_outlives_a_list_of_the_same_peers_and_ends_with_another_address() {
+    let mut network = Network::new(20, 0.0);
+    network.run(milliseconds(5_000));
+    network.still[4] = true;
+    network.run(milliseconds(8_000));
+    let monitors = network.suspecting(&name(4));
+    assert_eq!(monitors.len(), 3);
+    (0..20).for_each(|node| network.handle(node, Event::Peers(peers(0..20))));
+    assert_eq!(network.suspecting(&name(4)), monitors);
+    let mut moved = peers(0..20);
+    moved[4].address = address(21);
+    network.handle(monitors[0], Event::Peers(moved));
+    assert_eq!(network.suspecting(&name(4)), monitors[1..]);
+}
+
+#[test]
+fn processes_of_different_releases_agree_on_who_monitors_whom() {
+    // As they were chosen when this test was written.
+    let network = Network::new(8, 0.0);
+    let monitors: Vec<Vec<usize>> = (0..8).map(|node| network.monitors(node)).collect();
+    let expected = [[4, 5, 7], [3, 5, 6], [0, 3, 7], [2, 4, 7], [0, 1, 3], [0, 1, 6], [0, 1, 4], [1, 2, 3]];
+    assert_eq!(monitors, expected);
+}
