--- a/crates/quillpulley/src/proxy/upstream/connection_pool.rs
+++ b/crates/quillpulley/src/proxy/upstream/connection_pool.rs
@@ -21,13 +21,13 @@
 /// Idle connections that are kept to a server, whatever its quota is.
 const MIN_IDLE: usize = 2;
 /// How long a connection rests between requests: late bytes behind a response must not be read as the next one.
-const REST_TIME: Duration = Duration::from_millis(10);
+const REUSE_DELAY: Duration = Duration::from_millis(10);
 
 const LIMITS: ConnectionLimits = ConnectionLimits {
     max_body: usize::MAX,
     max_buffer: 32 * 1024,
     body_timeout: Duration::from_secs(3600),
-    reuse_delay: REST_TIME,
+    reuse_delay: REUSE_DELAY,
     ready_timeout: Duration::ZERO,
 };
 
@@ -142,7 +142,7 @@
         if of_server.len() >= quota.max(MIN_IDLE) {
             of_server.remove(0);
         }
-        let (reusable_at, expires_at) = (now + REST_TIME, now + idle_time);
+        let (reusable_at, expires_at) = (now + REUSE_DELAY, now + idle_time);
         of_server.push(IdleConnection { connection, reusable_at, expires_at });
     }
 
