--- a/crates/quillpulley/tests/proxy_lifecycle.rs
+++ b/crates/quillpulley/tests/proxy_lifecycle.rs
@@ -60,3 +60,45 @@
     let after_ms = |age_ms| retry_after_start(Duration::from_millis(age_ms)).as_millis();
     assert_eq!([0, 300, 600, 1_600, 10_000].map(after_ms), [1_600, 1_300, 1_000, 1_000, 1_000]);
 }
+
+/// What the control plane and the operator may do to a proxy, however often: restarts of the agent, of its parents and
+/// of all control nodes end in one of these events.
+const EVENTS: [Event; 3] = [Event::ConfigurationKnown, Event::Fresh, Event::Drain];
+
+quickcheck::quickcheck! {
+    fn once_ready_a_proxy_stays_so_until_it_drains(steps: Vec<(u8, u16)>) -> bool {
+        let mut lifecycle = Lifecycle::default();
+        let (mut now, mut was_ready) = (Duration::ZERO, false);
+        for (event, pause_ms) in steps {
+            now += Duration::from_millis(pause_ms.into());
+            was_ready |= lifecycle.is_ready(now);
+            let event = EVENTS[usize::from(event) % EVENTS.len()];
+            lifecycle.handle(now, event);
+            if lifecycle.is_draining() {
+                return !lifecycle.is_ready(now) && event == Event::Drain;
+            }
+            if was_ready && !lifecycle.is_ready(now) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn a_proxy_with_a_configuration_is_ready_after_two_and_a_half_seconds(steps: Vec<(bool, u16)>) -> bool {
+        let mut lifecycle = Lifecycle::default();
+        let (mut now, mut known_since) = (Duration::ZERO, None);
+        for (is_fresh, pause_ms) in steps {
+            now += Duration::from_millis(pause_ms.into());
+            let event = if is_fresh { Event::Fresh } else { Event::ConfigurationKnown };
+            lifecycle.handle(now, event);
+            if !is_fresh {
+                known_since.get_or_insert(now);
+            }
+            let has_waited = known_since.is_some_and(|since| now >= since + Duration::from_millis(2_500));
+            if has_waited && !lifecycle.is_ready(now) {
+                return false;
+            }
+        }
+        true
+    }
+}
