--- a/crates/retry-budget/tests/cap.rs
+++ b/crates/retry-budget/tests/cap.rs
@@ -156,3 +156,62 @@
     let burst = (0..100).filter(|_| budgets.try_retry(now, SERVICE)).count();
     assert!((11..=20).contains(&burst), "{burst} repeats for 100 requests in the window");
 }
+
+const SLOTS: i64 = 20;
+const WITHOUT_SLACK: Options = Options { slack: 0.0, ..OPTIONS };
+
+/// The retries that the cap leaves in the last of these slots of half a second, counted by trying: each window of 21 slots
+/// that contains it may have the ratio of a quarter of its requests, a quarter of those half a window before, and half
+/// of those a window before.
+fn expected_retries(requests: &[u32]) -> u32 {
+    let newest = requests.len() as i64 - 1;
+    let sum = |from: i64, to: i64| -> u32 {
+        (from..=to).filter_map(|slot| usize::try_from(slot).ok()).filter_map(|slot| requests.get(slot)).sum()
+    };
+    let allowance = |end: i64| {
+        let this = sum(end - SLOTS + 1, end);
+        let half_before = sum(end - SLOTS * 3 / 2 + 1, end - SLOTS / 2 - 1);
+        let before = sum(end - SLOTS * 2 + 1, end - SLOTS - 1);
+        RATIO * (0.25 * f64::from(this) + 0.25 * f64::from(half_before) + 0.5 * f64::from(before))
+    };
+    let least = (newest..=newest + SLOTS).map(allowance).fold(f64::INFINITY, f64::min);
+    (0..).find(|retries| f64::from(retries + 1) > least).unwrap_or_default()
+}
+
+/// The retries that a proxy sends in the last slot, with a bucket that holds more than the cap allows.
+fn sent_retries(requests: &[u32]) -> u32 {
+    let mut budgets = RetryBudgets::new(WITHOUT_SLACK);
+    let slot = WINDOW / SLOTS as u32;
+    let totals =
+        [ServiceUsage { service: SERVICE.to_string(), requests: 1_000_000, retries: 0, rejected_retries: 0 }];
+    let mut now = Duration::ZERO;
+    // The service is known from here on, so that its bucket is filled from the first totals on.
+    assert!(!budgets.try_retry(now, SERVICE), "without requests there are no retries");
+    for count in requests {
+        budgets.set_totals(now, &totals, 1, true);
+        (0..*count).for_each(|_| budgets.record_request(now, SERVICE));
+        now += slot;
+    }
+    let now = now - slot / 2;
+    (0..).take_while(|_| budgets.try_retry(now, SERVICE)).count() as u32
+}
+
+quickcheck! {
+    fn a_full_bucket_is_used_up_to_the_cap_and_not_beyond(counts: Vec<u8>, last: u8) -> bool {
+        // A service that is idle for three windows would be forgotten, with its bucket.
+        let mut requests: Vec<u32> = counts.iter().take(55).map(|count| u32::from(*count)).collect();
+        requests.push(u32::from(last) + 1);
+        sent_retries(&requests) == expected_retries(&requests)
+    }
+}
+
+#[test]
+fn requests_count_for_the_cap_of_exactly_the_windows_they_belong_to() {
+    // A burst in one slot, and the slots since then; the newest one has a request of its own.
+    for since in 1..45 {
+        let mut requests = vec![0; 60];
+        requests[59 - since] = 4_000;
+        requests[59] = 1;
+        assert_eq!(sent_retries(&requests), expected_retries(&requests), "{since} slots ago");
+    }
+}
