control: the time to read a configuration's body does not count as waiting

Cause: found when reading the change again: since commands carry the time at which their head came, a configuration whose body takes 3 s to come had expired when it was queued. It waits from when it is queued, as before; an evacuation, which has no body, from its receipt, so that the order of receipts is known for all that can still be decided. Timeline in tests/control/commands.rs.

--- a/crates/quillpulley/src/control/commands.rs
+++ b/crates/quillpulley/src/control/commands.rs
@@ -71,12 +71,7 @@
     command: Command,
     responder: R,
     received_at: Duration,
-}
-
-impl<R> QueuedCommand<R> {
-    fn expires_at(&self) -> Duration {
-        self.received_at + RESPONSE_TIMEOUT
-    }
+    expires_at: Duration,
 }
 
 struct InFlight<R> {
@@ -109,14 +104,20 @@
 }
 
 impl<R> CommandQueue<R> {
-    /// Queues a command.
-    pub fn push(&mut self, received_at: Duration, command: Command, responder: R) {
+    /// Queues a command whose head was received at `received_at`. The time to read the body of a configuration does not
+    /// count as waiting.
+    pub fn push(&mut self, now: Duration, received_at: Duration, command: Command, responder: R) {
         let queued: usize = self.queued.iter().map(|queued| queued.command.bytes()).sum();
         if queued + command.bytes() > MAX_QUEUED_BYTES {
             self.responses.push((responder, Response::Unavailable));
             return;
         }
-        self.queued.push_back(QueuedCommand { command, responder, received_at });
+        let waits_since = match &command {
+            Command::Replace { .. } => now,
+            Command::Evacuate { .. } => received_at,
+        };
+        let expires_at = waits_since + RESPONSE_TIMEOUT;
+        self.queued.push_back(QueuedCommand { command, responder, received_at, expires_at });
     }
 
     /// Decides queued commands up to the first that has to be replicated, and returns that. Decides none while the log
@@ -161,8 +162,7 @@
     }
 
     fn start(&mut self, queued: QueuedCommand<R>, payload: Vec<u8>) -> Proposal {
-        let expires_at = queued.expires_at();
-        let QueuedCommand { command, responder, .. } = queued;
+        let QueuedCommand { command, responder, expires_at, .. } = queued;
         let number = self.next_number;
         self.next_number += 1;
         self.in_flight = Some(InFlight { number, command, responder: Some(responder), expires_at });
@@ -196,7 +196,7 @@
         }
         let queued = std::mem::take(&mut self.queued);
         let (expired, waiting): (VecDeque<_>, VecDeque<_>) =
-            queued.into_iter().partition(|queued| queued.expires_at() <= now);
+            queued.into_iter().partition(|queued| queued.expires_at <= now);
         self.queued = waiting;
         self.responses.extend(expired.into_iter().map(|queued| (queued.responder, Response::Unavailable)));
         self.evacuations.forget_before(now.saturating_sub(RESPONSE_TIMEOUT));
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -88,7 +88,9 @@
         match (self.replica.lease_until(now), operation) {
             (_, Operation::ReadStatus) => self.respond(responder, status::response(&self.snapshot(), now)),
             (None, _) => self.respond(responder, self.snapshot().redirect(now)),
-            (Some(_), Operation::Execute(command)) => self.commands.push(received_at, command, responder),
+            (Some(_), Operation::Execute(command)) => {
+                self.commands.push(now, received_at, command, responder)
+            }
             (Some(lease_end), Operation::ReadConfiguration) => {
                 self.respond(responder, self.snapshot().configuration(lease_end));
             }
--- a/crates/quillpulley/tests/control/commands.rs
+++ b/crates/quillpulley/tests/control/commands.rs
@@ -38,7 +38,7 @@
                 Some((time, text)) => (Duration::from_millis(time.parse().expect("a time")), text),
                 None => (now, text),
             };
-            self.commands.push(received_at, command(text), text.to_string());
+            self.commands.push(now, received_at, command(text), text.to_string());
         }
     }
 
@@ -51,7 +51,7 @@
             ["fail", name] => self.commands.failed(name.parse().expect("a name")),
             ["foreign", text] => {
                 let mut other = CommandQueue::default();
-                other.push(Duration::ZERO, command(text), ());
+                other.push(Duration::ZERO, Duration::ZERO, command(text), ());
                 let proposal = other.next_proposal(&self.state).expect("a proposal");
                 self.apply(proposal.payload);
             }
@@ -229,7 +229,7 @@
     let mut commands = CommandQueue::default();
     let large = Command::Replace { base: 0, body: vec![0; 4_000_000] };
     for number in 0..9 {
-        commands.push(Duration::ZERO, large.clone(), number);
+        commands.push(Duration::ZERO, Duration::ZERO, large.clone(), number);
     }
     assert_eq!(commands.take_responses(), [(8, Response::Unavailable)]);
 }
@@ -281,3 +281,13 @@
           50 |       | commit 3 | -a acknowledged",
     );
 }
+
+#[test]
+fn a_configuration_whose_body_took_long_to_come_is_decided_and_an_evacuation_that_late_is_not() {
+    play(
+        " 9000 | 1000@0>5 |          | proposed 1
+          9010 |          | commit 1 | 0>5 acknowledged
+          9020 | 6020@+a  |          | +a unavailable
+          9030 | 6031@+a  |          | proposed 2",
+    );
+}
--- a/crates/quillpulley/tests/operators/node.rs
+++ b/crates/quillpulley/tests/operators/node.rs
@@ -115,7 +115,7 @@
         } else if self.fault == Fault::Overlapping {
             self.decide_at_once(now, id, &command);
         } else {
-            self.commands.push(now, command, id);
+            self.commands.push(now, now, command, id);
         }
     }
 
