--- a/review/standins/stuck_api.rs
+++ b/review/standins/stuck_api.rs
@@ -14,7 +14,9 @@
 const ORDERS: usize = 8;
 const CUT: Duration = Duration::from_secs(6);
 /// The orders are sent within this time before the cut.
-const CUT_DELAY: Duration = Duration::from_millis(100);
+const CUT_DELAY: Duration = Duration::from_millis(200);
+/// The orders are sent one shortly after the other.
+const ORDER_INTERVAL: Duration = Duration::from_millis(15);
 /// The part of each order that has passed before the cut: its head and the beginning of its body.
 const BYTES_BEFORE_CUT: usize = 700;
 /// How long the other operator asks, which is longer than `ContactMs`.
@@ -55,6 +57,7 @@
             let body = configuration(2 + order as u64, 15_000, 10);
             operator.replace(1, &body, Duration::from_millis(ACK_MS)).map(|response| response.status)
         }));
+        thread::sleep(ORDER_INTERVAL);
     }
     thread::sleep(Duration::from_millis(500));
     let start = Instant::now();
