Answers that clients still read no longer count as idle

Cause: a connection was busy only until hyper had taken the body of the response, which for a buffered body is at once. From then on it was idle, though most bytes waited in hyper for the client. The end of a stream was exposed in the same way, as was an answer during which the next head began.

Mend: explicit phases (idle, responding, writing), changed by one function. After each poll of hyper the socket says whether bytes wait for the kernel; only then is a complete response written. What it lets live is bounded: a client that reads nothing for 15 s, or is beyond the write deadline of its response, is closed, and after 5 s already if a new connection needs the room. This replaces the task of streams that are not read.

On the way: what is recorded of a connection's input is reset by the connection itself, as readiness checks never did it and could not be closed to make room.

--- a/crates/http1-client/src/connection_manager.rs
+++ b/crates/http1-client/src/connection_manager.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -52,6 +52,12 @@
     /// The minimum idle time before a connection on which no complete head of a request has arrived is closed
     /// to make room for a new one.
     pub first_request_grace: Duration,
+    /// The maximum time for which a client may read nothing of a response that waits for it. The connection
+    /// is closed then.
+    pub write_stall_timeout: Duration,
+    /// The minimum time for which a client must have read nothing of a response before its connection is
+    /// closed to make room for a new one, or by [`ConnectionManager::close_most_stalled`].
+    pub write_stall_grace: Duration,
     /// The delay before accepting is retried after a failure, which most likely means that there are no free
     /// file descriptors, or when all connections are busy.
     pub accept_retry_delay: Duration,
@@ -92,12 +98,12 @@
             // Beyond the maximum, new connections therefore wait in the kernel's queue until another
             // connection has closed.
             while self.open_count() >= max_connections {
-                self.close_most_idle();
+                self.make_room();
                 let _ = timeout(accept_retry_delay, self.closed.notified()).await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(self.clone().serve(Socket::new(stream), service.clone()));
+                    spawn_local(self.clone().serve(stream, service.clone()));
                 }
                 Err(error) => {
                     service.accept_failed(&error);
@@ -151,28 +157,42 @@
         self.connections.borrow().len()
     }
 
-    /// Asks the connection that should be closed first to close, if any may be closed.
-    fn close_most_idle(&self) {
-        let options = self.options.get();
+    /// Closes the connection whose client has read nothing of its response for the longest time, at least
+    /// for [`ConnectionOptions::write_stall_grace`]. Returns whether there is one.
+    pub fn close_most_stalled(&self) -> bool {
+        let grace = self.options.get().write_stall_grace;
         let connections = self.connections.borrow();
-        let ranked = connections.values().filter_map(|each| Some((each.close_rank(&options)?, each)));
-        if let Some((_, connection)) = ranked.min_by_key(|(rank, _)| *rank) {
-            connection.request_close();
+        let stalled = connections.values().filter_map(|each| Some((each.stalled_since()?, each)));
+        let stalled = stalled.filter(|(since, _)| since.elapsed() > grace);
+        let Some((_, connection)) = stalled.min_by_key(|(since, _)| *since) else { return false };
+        connection.close_now();
+        true
+    }
+
+    /// Makes room for a connection: asks the connection that should be closed first to close, or closes a
+    /// stalled one if all are busy.
+    fn make_room(&self) {
+        if !self.close_most_idle() {
+            self.close_most_stalled();
         }
     }
 
-    async fn serve<S: Service>(self: Rc<Self>, socket: Rc<Socket>, service: Rc<S>) {
+    /// Asks the connection that should be closed first to close. Returns whether any may be closed.
+    fn close_most_idle(&self) -> bool {
         let options = self.options.get();
+        let connections = self.connections.borrow();
+        let ranked = connections.values().filter_map(|each| Some((each.close_rank(&options)?, each)));
+        let Some((_, connection)) = ranked.min_by_key(|(rank, _)| *rank) else { return false };
+        connection.request_close();
+        true
+    }
+
+    async fn serve<S: Service>(self: Rc<Self>, stream: TcpStream, service: Rc<S>) {
         let number = self.next_number.replace(self.next_number.get() + 1);
-        let connection = Rc::new(ServerConnection::new(socket.clone()));
+        let connection = Rc::new(ServerConnection::new(Socket::new(stream), self.options.get()));
         self.connections.borrow_mut().insert(number, connection.clone());
-        socket.record_input(options.recorded_bytes);
-        if connection.serve(&options, &service, &self.draining).await == ServeEnd::Linger {
-            connection.forget_requests();
-            tokio::select! {
-                () = socket.linger(options.linger.time, options.linger.bytes) => {}
-                () = connection.close_requested() => {}
-            }
+        if connection.serve(&service, &self.draining).await == ServeEnd::Linger {
+            connection.linger().await;
         }
         self.connections.borrow_mut().remove(&number);
         self.closed.notify_one();
--- a/crates/http1-client/src/lib.rs
+++ b/crates/http1-client/src/lib.rs
@@ -8,8 +8,10 @@
 
 mod client_connection;
 mod connection_manager;
+mod connection_phase;
 mod server_connection;
 mod socket;
+mod write_timer;
 
 pub use client_connection::{ClientConnection, ConnectionLimits, ResponseError};
 pub use connection_manager::{ConnectionManager, ConnectionOptions, Linger};
--- a/crates/http1-client/src/server_connection.rs
+++ b/crates/http1-client/src/server_connection.rs
@@ -1,7 +1,9 @@
 //! An incoming connection, which serves requests until it closes.
 
-use crate::connection_manager::ConnectionOptions;
+use crate::connection_manager::{ConnectionOptions, Linger};
+use crate::connection_phase::{Event, Phase};
 use crate::socket::{Socket, SocketIo};
+use crate::write_timer::WriteTimer;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::CONNECTION;
@@ -9,14 +11,15 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
+use std::any::Any;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::error::Error;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -59,12 +62,17 @@
 /// An incoming connection.
 pub struct ServerConnection {
     socket: Rc<Socket>,
-    /// Whether a request is open. It is open until hyper has read the whole body of its response.
-    busy: Cell<bool>,
+    /// The limits at the time at which the connection was accepted.
+    options: ConnectionOptions,
+    phase: Cell<Phase>,
     /// Whether the complete head of a request has arrived.
     has_requested: Cell<bool>,
-    /// When the connection was accepted, or when it last became idle.
-    idle_since: Cell<Instant>,
+    /// When the connection was accepted.
+    accepted_at: Instant,
+    /// The time by which the current response has to be written.
+    write_deadline: Cell<Option<Instant>>,
+    /// What is dropped once the current response is written, or the connection has ended.
+    held: RefCell<Vec<Box<dyn Any>>>,
     /// When [`ServerConnection::is_slow`] first found a part of the head of the next request.
     head_seen_at: Cell<Option<Instant>>,
     /// Whether the latest response tells the client that the connection closes.
@@ -78,12 +86,17 @@
 }
 
 impl ServerConnection {
-    pub(crate) fn new(socket: Rc<Socket>) -> Self {
+    pub(crate) fn new(socket: Rc<Socket>, options: ConnectionOptions) -> Self {
+        let now = Instant::now();
+        socket.record_input(options.recorded_bytes);
         ServerConnection {
             socket,
-            busy: Cell::new(false),
+            options,
+            phase: Cell::new(Phase::Idle { since: now }),
             has_requested: Cell::new(false),
-            idle_since: Cell::new(Instant::now()),
+            accepted_at: now,
+            write_deadline: Cell::new(None),
+            held: RefCell::default(),
             head_seen_at: Cell::new(None),
             closing: Cell::new(false),
             aborted: Cell::new(false),
@@ -97,14 +110,26 @@
         &self.socket
     }
 
+    /// Closes the connection once `deadline` is over if bytes of the current response still wait for the
+    /// client to read. Called while a request is open.
+    pub fn set_write_deadline(&self, deadline: Instant) {
+        self.write_deadline.set(Some(deadline));
+    }
+
+    /// Keeps `resource` until every byte of the current response was handed to the kernel, or the connection
+    /// has ended. Called while a request is open.
+    pub fn hold_until_written(&self, resource: impl Any) {
+        self.held.borrow_mut().push(Box::new(resource));
+    }
+
     /// Closes the connection at once, even in the middle of a response, which the client then recognizes as
     /// incomplete. This is meant for responses that the client does not read.
-    pub fn close_now(&self) {
+    pub(crate) fn close_now(&self) {
         self.closes_at_once.set(true);
         self.close.notify_one();
     }
 
-    /// Closes the connection without another response, unless a request is open.
+    /// Closes the connection without another response, unless a response is not complete or not written.
     pub(crate) fn abort(&self) {
         self.aborted.set(true);
         self.close.notify_one();
@@ -115,33 +140,62 @@
         self.close.notify_one();
     }
 
-    /// Waits until the connection is asked to close.
-    pub(crate) async fn close_requested(&self) {
-        self.close.notified().await;
-    }
-
     /// Returns whether the complete head of a request has arrived.
     pub(crate) fn has_requested(&self) -> bool {
         self.has_requested.get()
     }
 
-    /// Records that the last response has been sent: from now on the connection may be closed like one that
-    /// has never had a request.
-    pub(crate) fn forget_requests(&self) {
+    /// Discards what the client still sends after the last response, until it closes the connection, the
+    /// limits are reached, or the connection is asked to close. From now on it may be closed to make room like
+    /// a connection that has never had a request.
+    pub(crate) async fn linger(&self) {
         self.has_requested.set(false);
-        self.idle_since.set(Instant::now());
+        self.handle(Event::LingerBegan);
+        let Linger { time, bytes } = self.options.linger;
+        tokio::select! {
+            () = self.socket.linger(time, bytes) => {}
+            () = self.close.notified() => {}
+        }
+    }
+
+    /// Handles an event of the connection.
+    fn handle(&self, event: Event) {
+        let before = self.phase.get();
+        let after = before.after(event, Instant::now());
+        self.phase.set(after);
+        if before == Phase::Writing && after != Phase::Writing {
+            self.release_held();
+        }
+    }
+
+    /// Ends the current response: drops what it holds, and its deadline.
+    fn release_held(&self) {
+        self.write_deadline.set(None);
+        let held = self.held.take();
+        drop(held);
+    }
+
+    /// Returns whether a response is not complete, or not written completely.
+    fn is_busy(&self) -> bool {
+        self.phase.get().idle_since().is_none()
     }
 
     /// Returns whether the connection has been idle for longer than `idle_grace`.
     pub(crate) fn is_idle(&self, idle_grace: Duration) -> bool {
-        !self.busy.get() && self.idle_since.get().elapsed() > idle_grace
+        self.phase.get().idle_since().is_some_and(|since| since.elapsed() > idle_grace)
+    }
+
+    /// Returns since when the client has read nothing of a response that waits for it; `None` if none waits.
+    pub(crate) fn stalled_since(&self) -> Option<Instant> {
+        self.socket.write_blocked_since()
     }
 
     /// Returns the rank of the connection if it may be closed to make room. Connections without a request are
     /// closed first, so that they do not displace clients that send requests.
     pub(crate) fn close_rank(&self, options: &ConnectionOptions) -> Option<CloseRank> {
+        let idle_since = self.phase.get().idle_since()?;
         let is_unused = !self.has_requested.get() && self.is_idle(options.first_request_grace);
-        let rank = CloseRank { has_requested: self.has_requested.get(), idle_since: self.idle_since.get() };
+        let rank = CloseRank { has_requested: self.has_requested.get(), idle_since };
         (is_unused || self.is_idle(options.idle_grace)).then_some(rank)
     }
 
@@ -149,13 +203,13 @@
     /// request has been incomplete for longer than `header_timeout`. The time of a head is measured from the
     /// first call that finds it.
     pub(crate) fn is_slow(&self, idle_timeout: Duration, header_timeout: Duration) -> bool {
-        if self.busy.get() {
+        let Some(idle_since) = self.phase.get().idle_since() else {
             self.head_seen_at.set(None);
             return false;
-        }
+        };
         if !self.socket.has_input() {
             self.head_seen_at.set(None);
-            return self.idle_since.get().elapsed() > idle_timeout && self.socket.is_open_and_empty();
+            return idle_since.elapsed() > idle_timeout && self.socket.is_open_and_empty();
         }
         let head_seen_at = self.head_seen_at.get().unwrap_or_else(Instant::now);
         self.head_seen_at.set(Some(head_seen_at));
@@ -165,10 +219,10 @@
     /// Serves the connection until it accepts no further requests.
     pub(crate) async fn serve<S: Service>(
         self: &Rc<Self>,
-        options: &ConnectionOptions,
         service: &Rc<S>,
         draining: &Cell<bool>,
     ) -> ServeEnd {
+        let options = &self.options;
         let respond = service_fn(|request| self.clone().respond(request, service.clone()));
         let mut http = http1::Builder::new();
         if let Some(header_timeout) = options.header_timeout {
@@ -177,20 +231,52 @@
         http.max_buf_size(options.max_header_bytes);
         let io = TokioIo::new(SocketIo(self.socket.clone()));
         let mut connection = pin!(http.serve_connection(io, respond));
-        loop {
-            tokio::select! {
-                // An error here is caused by the client: it closed the connection, was too slow, or sent
-                // invalid HTTP, to which hyper has responded.
-                end = connection.as_mut() => {
-                    let lingers = end.map_or_else(|error| error.is_parse(), |()| self.closing.get());
-                    return if lingers { ServeEnd::Linger } else { ServeEnd::Closed };
+        let mut write_timer = WriteTimer::new(options.write_stall_timeout);
+        let end = loop {
+            let progress = poll_fn(|cx| {
+                if let Poll::Ready(end) = connection.as_mut().poll(cx) {
+                    return Poll::Ready(Progress::Ended(end));
                 }
+                self.observe_written();
+                ready!(write_timer.poll_expired(&self.socket, self.write_deadline.get(), cx));
+                Poll::Ready(Progress::WriteTimedOut)
+            });
+            tokio::select! {
+                progress = progress => break self.serve_end(progress),
                 () = self.close.notified() => match self.close_action(draining.get()) {
-                    CloseAction::Now => return ServeEnd::Closed,
+                    CloseAction::Now => break ServeEnd::Closed,
                     CloseAction::Gracefully => connection.as_mut().graceful_shutdown(),
                     CloseAction::Later => {}
                 },
             }
+        };
+        self.release_held();
+        end
+    }
+
+    /// Notices that the response was written completely. Called after each poll of hyper, which then has
+    /// either written all bytes of a complete response, or waits for the kernel to accept more.
+    fn observe_written(&self) {
+        if self.phase.get() == Phase::Writing && self.socket.write_blocked_since().is_none() {
+            self.handle(Event::ResponseWritten);
+        }
+    }
+
+    fn serve_end(&self, progress: Progress) -> ServeEnd {
+        let lingers = match progress {
+            Progress::Ended(Ok(())) => self.closing.get(),
+            // An error is caused by the client: it closed the connection, was too slow, or sent invalid
+            // HTTP, to which hyper has responded.
+            Progress::Ended(Err(error)) => error.is_parse(),
+            Progress::WriteTimedOut => {
+                log::debug!("closing a connection: the client does not read its response");
+                false
+            }
+        };
+        if lingers {
+            ServeEnd::Linger
+        } else {
+            ServeEnd::Closed
         }
     }
 
@@ -198,14 +284,15 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         service: Rc<S>,
-    ) -> Result<Response<BusyBody<S::Body>>, Infallible> {
-        let accepted_at = (!self.has_requested.replace(true)).then(|| self.idle_since.get());
-        let busy = BusyGuard::new(self.clone());
+    ) -> Result<Response<ResponseBody<S::Body>>, Infallible> {
+        let accepted_at = (!self.has_requested.replace(true)).then_some(self.accepted_at);
+        let open_request = OpenRequest::new(self.clone());
         let response = service.respond(request, self.clone(), accepted_at).await;
+        self.socket.record_input(self.options.recorded_bytes);
         if response.headers().contains_key(CONNECTION) {
             self.closing.set(true);
         }
-        Ok(response.map(|body| BusyBody { body, _busy: busy }))
+        Ok(response.map(|body| ResponseBody { body, _open_request: open_request }))
     }
 
     /// Returns how a connection that was asked to close does so now.
@@ -213,7 +300,7 @@
         if self.closes_at_once.get() {
             return CloseAction::Now;
         }
-        if self.busy.get() {
+        if self.is_busy() {
             self.closing.set(true);
             return CloseAction::Gracefully;
         }
@@ -245,30 +332,37 @@
     Later,
 }
 
-/// Marks a connection as busy until it is dropped.
-struct BusyGuard(Rc<ServerConnection>);
+/// What a poll of a connection has brought.
+enum Progress {
+    /// hyper has ended the connection.
+    Ended(hyper::Result<()>),
+    /// The client has not read its response in time.
+    WriteTimedOut,
+}
+
+/// An open request. It ends when the body of its response has been read completely, or is dropped.
+struct OpenRequest(Rc<ServerConnection>);
 
-impl BusyGuard {
+impl OpenRequest {
     fn new(connection: Rc<ServerConnection>) -> Self {
-        connection.busy.set(true);
-        BusyGuard(connection)
+        connection.handle(Event::RequestArrived);
+        OpenRequest(connection)
     }
 }
 
-impl Drop for BusyGuard {
+impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.busy.set(false);
-        self.0.idle_since.set(Instant::now());
+        self.0.handle(Event::ResponseEnded);
     }
 }
 
-/// The body of a response. Its connection is busy until hyper has read all of it.
-struct BusyBody<B> {
+/// The body of a response, which ends its request when hyper has read all of it.
+struct ResponseBody<B> {
     body: B,
-    _busy: BusyGuard,
+    _open_request: OpenRequest,
 }
 
-impl<B: Body + Unpin> Body for BusyBody<B> {
+impl<B: Body + Unpin> Body for ResponseBody<B> {
     type Data = B::Data;
     type Error = B::Error;
 
--- a/crates/http1-client/src/socket.rs
+++ b/crates/http1-client/src/socket.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// How much of the latest message has been handed to the kernel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +42,8 @@
     record_limit: Cell<usize>,
     /// Whether [`Socket::abort`] was called.
     aborted: Cell<bool>,
+    /// Since when bytes wait that the kernel does not accept; `None` while none wait.
+    write_blocked_since: Cell<Option<Instant>>,
 }
 
 impl Socket {
@@ -57,6 +59,7 @@
             recorded_input: RefCell::default(),
             record_limit: Cell::new(0),
             aborted: Cell::new(false),
+            write_blocked_since: Cell::new(None),
         })
     }
 
@@ -69,6 +72,12 @@
         self.write_progress.get()
     }
 
+    /// Returns since when bytes wait that the kernel does not accept, because the peer does not read. `None`
+    /// while no bytes wait.
+    pub fn write_blocked_since(&self) -> Option<Instant> {
+        self.write_blocked_since.get()
+    }
+
     /// Resets the write progress for the next message.
     pub(crate) fn begin_message(&self) {
         self.write_progress.set(WriteProgress::NotStarted);
@@ -131,6 +140,11 @@
         }
     }
 
+    fn record_write_blocked(&self) {
+        let since = self.write_blocked_since.get().unwrap_or_else(Instant::now);
+        self.write_blocked_since.set(Some(since));
+    }
+
     /// Returns whether any bytes have been recorded since [`Socket::record_input`].
     pub fn has_input(&self) -> bool {
         !self.recorded_input.borrow().is_empty()
@@ -194,11 +208,16 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.stream().poll_write_ready(cx))?;
+            let Poll::Ready(ready) = self.0.stream().poll_write_ready(cx) else {
+                self.0.record_write_blocked();
+                return Poll::Pending;
+            };
+            ready?;
             match self.0.stream().try_write_vectored(bufs) {
                 Ok(n) => {
                     if n > 0 {
                         self.0.write_progress.set(WriteProgress::Partial);
+                        self.0.write_blocked_since.set(None);
                     }
                     return Poll::Ready(Ok(n));
                 }
@@ -216,6 +235,7 @@
     /// completely before it writes any of it, and flushes only when its buffer is empty. A flush after a
     /// write therefore means that the last byte was written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.write_blocked_since.set(None);
         if self.0.write_progress.get() == WriteProgress::Partial {
             self.0.write_progress.set(WriteProgress::Complete);
         }
--- /dev/null
+++ b/crates/http1-client/tests/server_connection/main.rs
@@ -0,0 +1,4 @@
+//! Tests of incoming connections whose clients read slowly or not at all.
+
+mod support;
+mod unwritten_responses;
--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -4,6 +4,7 @@
 //! and `respond` (of [`Service`]) returns the response. If the client closes its connection, the request ends
 //! in any of them.
 
+use crate::proxy::admission::buffer_budget::BufferReservation;
 use crate::proxy::config::active_config::{ActiveConfig, RouteDecision};
 use crate::proxy::downstream::local_response::LocalResponse;
 use crate::proxy::downstream::open_requests::OpenRequest;
@@ -13,7 +14,7 @@
 use crate::proxy::retry::forwarding::{ForwardError, Forwarding, UpstreamResponse};
 use crate::proxy::shutdown::lifecycle;
 use crate::proxy::state::ProxyState;
-use crate::proxy::streaming::event_stream::{EventStream, StreamGuards};
+use crate::proxy::streaming::event_stream::EventStream;
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
 use quillpulley_http1_client::{ServerConnection, Service};
@@ -23,7 +24,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
 /// `Retry-After` for a request whose id belongs to a request that is still open.
 const DUPLICATE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -32,8 +33,10 @@
 const DRAINING_RETRY_AFTER: Duration = Duration::ZERO;
 /// `Retry-After` for a request without a known route while the published state is stale.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// A stream that is still open for this long after its deadline is not being read by its client.
-const STALLED_STREAM_MARGIN: Duration = Duration::from_millis(200);
+/// How long after its deadline a response must have been written.
+const WRITE_MARGIN: Duration = Duration::from_millis(200);
+/// Minimum rate at which clients have to read complete responses after their deadline, in bytes per second.
+const MIN_READ_RATE: f64 = 32.0 * 1024.0;
 /// Number of received bytes to record on a connection: one is enough to detect that a request has begun.
 pub const RECORDED_BYTES: usize = 1;
 
@@ -42,10 +45,13 @@
     state: Rc<ProxyState>,
 }
 
-/// A request that was accepted, with the resources that it holds until its response is complete.
+/// A request that was accepted.
 struct AcceptedRequest {
     context: RequestContext,
-    guards: StreamGuards,
+    /// The registration of the request.
+    open_request: OpenRequest,
+    /// The memory of the body of the request.
+    reservation: BufferReservation,
 }
 
 /// The head of a request, and the route decision for it.
@@ -103,7 +109,7 @@
         let open_request = self.open_request(&head)?;
         let request = ClientRequest::new(head, body, arrived, deadline);
         let context = RequestContext { request, decision };
-        Ok(AcceptedRequest { context, guards: StreamGuards { open_request, reservation } })
+        Ok(AcceptedRequest { context, open_request, reservation })
     }
 
     /// Finds the route of a request. Called before the body is read, so that a request can be rejected
@@ -151,16 +157,19 @@
         accepted: AcceptedRequest,
         connection: &Rc<ServerConnection>,
     ) -> Result<ClientResponse, LocalResponse> {
-        let AcceptedRequest { context, mut guards } = accepted;
+        let AcceptedRequest { context, open_request: _open_request, reservation } = accepted;
         let deadline = context.request.deadline;
         let mut forwarding = Box::new(Forwarding::new(self.state.clone(), context));
         match forwarding.forward().await {
-            Ok(UpstreamResponse::Complete(head, body)) => {
-                Ok(response::from_server(head, ResponseBody::Complete(Some(body))))
+            Ok(UpstreamResponse::Complete(head, bytes)) => {
+                connection.set_write_deadline(complete_write_deadline(deadline, bytes.len()));
+                Ok(response::from_server(head, ResponseBody::Complete(Some(bytes))))
             }
             Ok(UpstreamResponse::Stream(upstream)) => {
-                guards.open_request.run_while_open(close_stalled_stream(connection.clone(), deadline));
-                let (head, stream) = EventStream::new(forwarding, *upstream, guards);
+                // A stream checks its deadline only when it is polled, and it is not polled while the client
+                // does not read.
+                connection.set_write_deadline(deadline + WRITE_MARGIN);
+                let (head, stream) = EventStream::new(forwarding, *upstream, reservation);
                 Ok(response::from_server(head, ResponseBody::Stream(Box::new(stream))))
             }
             Err(ForwardError::Local(response)) => Err(response),
@@ -178,14 +187,11 @@
         connection: Rc<ServerConnection>,
         _accepted_at: Option<Instant>,
     ) -> ClientResponse {
-        let socket = connection.socket();
-        socket.record_input(0);
         let served = self.serve(request, &connection).await;
         let mut response = served.unwrap_or_else(|local| response::from_local(&local));
         if self.state.lifecycle.is_draining() {
             response::close_connection(&mut response);
         }
-        socket.record_input(RECORDED_BYTES);
         response
     }
 
@@ -197,11 +203,11 @@
     }
 }
 
-/// Closes the connection of a client that does not read its stream. A stream checks its deadline only when it
-/// is polled, and it is not polled while the client does not read.
-async fn close_stalled_stream(connection: Rc<ServerConnection>, deadline: Instant) {
-    sleep_until(deadline + STALLED_STREAM_MARGIN).await;
-    connection.close_now();
+/// Returns the time by which a complete response of `bytes` bytes has to be written. A client that reads it
+/// slowly may take longer than the deadline of its request, as the server has executed the request.
+fn complete_write_deadline(deadline: Instant, bytes: usize) -> Instant {
+    let read_time = Duration::from_secs_f64(bytes as f64 / MIN_READ_RATE);
+    deadline.max(Instant::now()) + WRITE_MARGIN + read_time
 }
 
 /// Returns a placeholder response, which is never delivered because the client has closed its connection.
--- a/crates/quillpulley/src/proxy/downstream/open_requests.rs
+++ b/crates/quillpulley/src/proxy/downstream/open_requests.rs
@@ -3,9 +3,7 @@
 use hyper::header::HeaderValue;
 use std::cell::RefCell;
 use std::collections::HashSet;
-use std::future::Future;
 use std::rc::Rc;
-use tokio::task::{spawn_local, AbortHandle};
 
 /// The ids of all open requests of this proxy.
 #[derive(Default)]
@@ -17,7 +15,7 @@
     /// Registers a request. Returns `None` if a request with the same id is open.
     pub fn open(self: &Rc<Self>, id: &HeaderValue) -> Option<OpenRequest> {
         let is_new = self.ids.borrow_mut().insert(id.clone());
-        is_new.then(|| OpenRequest { requests: self.clone(), id: id.clone(), task: None })
+        is_new.then(|| OpenRequest { requests: self.clone(), id: id.clone() })
     }
 
     /// Returns the number of open requests.
@@ -31,23 +29,14 @@
     }
 }
 
-/// An open request. Dropping it removes its id and aborts its task.
+/// An open request. Dropping it removes its id.
 pub struct OpenRequest {
     requests: Rc<OpenRequests>,
     id: HeaderValue,
-    task: Option<AbortHandle>,
-}
-
-impl OpenRequest {
-    /// Spawns a task that is aborted when the request ends. Must be called on a tokio `LocalSet`.
-    pub fn run_while_open(&mut self, task: impl Future<Output = ()> + 'static) {
-        self.task = Some(spawn_local(task).abort_handle());
-    }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.requests.ids.borrow_mut().remove(&self.id);
-        self.task.iter().for_each(AbortHandle::abort);
     }
 }
--- a/crates/quillpulley/src/proxy/downstream/readiness.rs
+++ b/crates/quillpulley/src/proxy/downstream/readiness.rs
@@ -22,6 +22,8 @@
     linger: Linger { time: Duration::ZERO, bytes: 0 },
     idle_grace: Duration::from_millis(100),
     first_request_grace: Duration::from_millis(100),
+    write_stall_timeout: Duration::from_secs(10),
+    write_stall_grace: Duration::from_secs(1),
     accept_retry_delay: Duration::from_millis(100),
 };
 
--- a/crates/quillpulley/src/proxy/process.rs
+++ b/crates/quillpulley/src/proxy/process.rs
@@ -42,6 +42,11 @@
 const MAX_QUEUED_REQUESTS: usize = 512;
 /// Minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Maximum time for which a client may read nothing of its response. Longer than TCP needs to send again after
+/// a link was cut for 6 s.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time after which a client that reads nothing of its response may be closed to free a connection or memory.
+const WRITE_STALL_GRACE: Duration = Duration::from_secs(5);
 /// Interval at which idle and slow connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -128,6 +133,8 @@
             max_client_connections.min(max_connections_for_memory(settings.limits.memory_mb));
         let buffers = BufferBudget::for_memory(settings.limits.memory_mb);
         let queue_limits = QueueLimits { requests: MAX_QUEUED_REQUESTS, bytes: buffers.limit() / 2 };
+        let clients =
+            ConnectionManager::new(client_options(max_client_connections.max(1), &Limits::default()));
         let state = ProxyState::new(Components {
             region: settings.region.clone(),
             balancer: balancer(settings, experiment.ablation),
@@ -137,8 +144,6 @@
             queue_limits,
             faults: experiment.faults,
         });
-        let clients =
-            ConnectionManager::new(client_options(max_client_connections.max(1), &Limits::default()));
         let address = listeners.clients.local_addr().ok().or(settings.listen.front);
         if let Some(address) = address {
             log::info!(address:% = address; "listening for clients");
@@ -207,6 +212,8 @@
         linger: Linger { time: Duration::from_millis(500), bytes: 256 * 1024 },
         idle_grace: Duration::from_millis(100),
         first_request_grace: Duration::from_millis(1_000),
+        write_stall_timeout: WRITE_STALL_TIMEOUT,
+        write_stall_grace: WRITE_STALL_GRACE,
         accept_retry_delay: Duration::from_millis(20),
     }
 }
--- a/crates/quillpulley/src/proxy/streaming/event_stream.rs
+++ b/crates/quillpulley/src/proxy/streaming/event_stream.rs
@@ -6,7 +6,6 @@
 //! closed its connection, the connection to the server is closed.
 
 use crate::proxy::admission::buffer_budget::BufferReservation;
-use crate::proxy::downstream::open_requests::OpenRequest;
 use crate::proxy::downstream::request::RequestContext;
 use crate::proxy::retry::forwarding::{ForwardError, Forwarding, StreamingResponse, UpstreamResponse};
 use crate::proxy::streaming::event_splitter::{EventSplitter, Position};
@@ -35,14 +34,6 @@
 
 impl std::error::Error for StreamError {}
 
-/// Resources that a request holds until its response has been streamed.
-pub struct StreamGuards {
-    /// The registration of the open request.
-    pub open_request: OpenRequest,
-    /// The memory reserved for the body of the request.
-    pub reservation: BufferReservation,
-}
-
 type Resumption = Pin<Box<dyn Future<Output = (Box<Forwarding>, Result<UpstreamResponse, ForwardError>)>>>;
 
 /// The source of the events.
@@ -76,15 +67,17 @@
     /// Whether any data of the body was received from the current server.
     has_received_data: bool,
     deadline: Pin<Box<Sleep>>,
-    _guards: StreamGuards,
+    /// The memory of the body of the request, which may be sent to another server.
+    _reservation: BufferReservation,
 }
 
 impl EventStream {
-    /// Creates the head and the body of the response to the client.
+    /// Creates the head and the body of the response to the client. `reservation` is the memory of the body
+    /// of the request.
     pub fn new(
         mut forwarding: Box<Forwarding>,
         response: StreamingResponse,
-        guards: StreamGuards,
+        reservation: BufferReservation,
     ) -> (Parts, Self) {
         let RequestContext { request, decision } = forwarding.context();
         let is_resumable = decision.resumable && !forwarding.faults().stream_resumption();
@@ -92,7 +85,10 @@
         let deadline = Box::pin(sleep_until(request.deadline));
         forwarding.response_begun();
         let (head, source) = Source::upstream(forwarding, response);
-        (head, EventStream { source, splitter, has_received_data: false, deadline, _guards: guards })
+        (
+            head,
+            EventStream { source, splitter, has_received_data: false, deadline, _reservation: reservation },
+        )
     }
 
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, StreamError>>> {
--- a/crates/quillpulley/tests/proxy/main.rs
+++ b/crates/quillpulley/tests/proxy/main.rs
@@ -7,6 +7,7 @@
 mod process_lifecycle;
 mod retries;
 mod routing;
+mod slow_readers;
 mod streams;
 mod tables;
 mod timelines;
--- a/crates/rate-limiter/src/bin/rate-limiter/clients/mod.rs
+++ b/crates/rate-limiter/src/bin/rate-limiter/clients/mod.rs
@@ -50,6 +50,10 @@
 const LINGER: Linger = Linger { time: Duration::from_millis(500), bytes: 256 * 1024 };
 const IDLE_GRACE: Duration = Duration::from_millis(100);
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(30);
+/// Maximum time for which a client may read nothing of its response.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time after which a client that reads nothing of its response may be closed to make room for another connection.
+const WRITE_STALL_GRACE: Duration = Duration::from_secs(5);
 const MAX_HEADER_BYTES: usize = 16 * 1024;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Maximum number of open requests, regardless of the settings.
@@ -118,7 +122,6 @@
         socket.record_input(0);
         let handled = self.handle(request, raw, socket, accepted_at).await;
         let mut response = handled.unwrap_or_else(RequestError::into_response);
-        socket.record_input(MAX_HEADER_BYTES);
         // The connection is closed after a chunked request, so that no bytes after its body are read as a request, even if
         // another HTTP implementation would determine a different end of the body.
         if is_chunked || self.drain_deadline.get().is_some() {
@@ -273,6 +276,8 @@
         linger: LINGER,
         idle_grace: IDLE_GRACE,
         first_request_grace: FIRST_REQUEST_GRACE,
+        write_stall_timeout: WRITE_STALL_TIMEOUT,
+        write_stall_grace: WRITE_STALL_GRACE,
         accept_retry_delay: ACCEPT_RETRY_DELAY,
     }
 }
