The memory of an answer is held until its last byte was written

What callers saw: with clients that do not read long answers a proxy grows beyond MemoryMb and is killed, with all its requests.

Cause: the reservation of an answer was given back when the answer had been read from its server, though all of it was still in memory until the client had read it.

Evidence: slow_readers::the_memory_of_an_answer_is_held_until_it_was_written fails before: with an unread answer of 8.1 MB of 9.3 MB, a body of 100 KB was taken and forwarded (504 at its deadline) instead of rejected with 503.

Mend: the connection holds the reservation until the answer is written or the connection has ended. An announced length is reserved, and allocated, at once.

--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -15,6 +15,7 @@
 use crate::proxy::shutdown::lifecycle;
 use crate::proxy::state::ProxyState;
 use crate::proxy::streaming::event_stream::EventStream;
+use crate::proxy::upstream::upstream_request::BufferedBody;
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
 use quillpulley_http1_client::{ServerConnection, Service};
@@ -161,8 +162,9 @@
         let deadline = context.request.deadline;
         let mut forwarding = Box::new(Forwarding::new(self.state.clone(), context));
         match forwarding.forward().await {
-            Ok(UpstreamResponse::Complete(head, bytes)) => {
+            Ok(UpstreamResponse::Complete(head, BufferedBody { bytes, reservation })) => {
                 connection.set_write_deadline(complete_write_deadline(deadline, bytes.len()));
+                connection.hold_until_written(reservation);
                 Ok(response::from_server(head, ResponseBody::Complete(Some(bytes))))
             }
             Ok(UpstreamResponse::Stream(upstream)) => {
--- a/crates/quillpulley/src/proxy/process.rs
+++ b/crates/quillpulley/src/proxy/process.rs
@@ -135,6 +135,8 @@
         let queue_limits = QueueLimits { requests: MAX_QUEUED_REQUESTS, bytes: buffers.limit() / 2 };
         let clients =
             ConnectionManager::new(client_options(max_client_connections.max(1), &Limits::default()));
+        let manager = clients.clone();
+        buffers.set_shortage_handler(move || manager.close_most_stalled());
         let state = ProxyState::new(Components {
             region: settings.region.clone(),
             balancer: balancer(settings, experiment.ablation),
--- a/crates/quillpulley/src/proxy/retry/forwarding.rs
+++ b/crates/quillpulley/src/proxy/retry/forwarding.rs
@@ -13,7 +13,7 @@
 use crate::proxy::state::ProxyState;
 use crate::proxy::upstream::connection_pool::{ConnectError, Connected};
 use crate::proxy::upstream::response_head::{self, ResponseVerdict};
-use crate::proxy::upstream::upstream_request::UpstreamRequest;
+use crate::proxy::upstream::upstream_request::{BufferedBody, UpstreamRequest};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
@@ -33,7 +33,7 @@
 /// A server's response to forward.
 pub enum UpstreamResponse {
     /// The head and the complete body.
-    Complete(Parts, Bytes),
+    Complete(Parts, BufferedBody),
     /// A response whose body is streamed.
     Stream(Box<StreamingResponse>),
 }
@@ -84,7 +84,7 @@
     /// The servers that the request was sent to, which are not chosen again.
     tried: Vec<ServerKey>,
     /// The latest error response of a server, which is forwarded if there is no better response.
-    error_response: Option<(Parts, Bytes)>,
+    error_response: Option<(Parts, BufferedBody)>,
     /// The socket of the latest attempt. `None` while another server is being chosen.
     socket: Option<Rc<Socket>>,
     /// The time until which the request may wait in a queue.
@@ -358,7 +358,7 @@
     head: Parts,
     body: Incoming,
     outcome: Outcome,
-) -> Result<(Parts, Bytes), Event> {
+) -> Result<(Parts, BufferedBody), Event> {
     match upstream_request.read_body(body).await {
         Ok(body) => {
             upstream_request.complete(outcome, response_head::keep_alive(&head.headers));
--- a/crates/quillpulley/src/proxy/upstream/upstream_request.rs
+++ b/crates/quillpulley/src/proxy/upstream/upstream_request.rs
@@ -3,6 +3,7 @@
 
 use super::connection_pool::{AbortGuard, UpstreamPeer};
 use super::upstreams::Upstreams;
+use crate::proxy::admission::buffer_budget::BufferReservation;
 use crate::proxy::downstream::request::RequestContext;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
@@ -16,6 +17,14 @@
 /// Maximum size of a response that is read completely before it is forwarded, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
+/// A complete body, with the memory that is reserved for it.
+pub struct BufferedBody {
+    /// The bytes of the body.
+    pub bytes: Bytes,
+    /// The reservation, which is held for as long as the bytes are in memory.
+    pub reservation: BufferReservation,
+}
+
 /// An upstream request in flight. If it is dropped before it ends, its connection is closed, so that the
 /// server cancels the request.
 pub struct UpstreamRequest {
@@ -84,33 +93,40 @@
         }
     }
 
-    /// Reads the complete body of the response.
+    /// Reads the complete body of the response. Waits for memory if the budget does not have enough left.
     ///
     /// # Errors
     /// [`ResponseError`] if the connection breaks, or the body exceeds `MAX_RESPONSE_BYTES` or the memory
     /// budget.
-    pub async fn read_body(&mut self, mut body: Incoming) -> Result<Bytes, ResponseError> {
-        if body.size_hint().lower() > MAX_RESPONSE_BYTES as u64 {
+    pub async fn read_body(&mut self, mut body: Incoming) -> Result<BufferedBody, ResponseError> {
+        let announced = body.size_hint().lower();
+        if announced > MAX_RESPONSE_BYTES as u64 {
             return Err(ResponseError::TooLarge);
         }
+        let announced = announced as usize;
         let mut reservation = self.upstreams.buffers().reservation();
+        // The announced length is reserved before reading, so that a body does not run out of memory halfway.
+        reservation.grow_to(announced).await.map_err(|_| ResponseError::TooLarge)?;
         let mut first: Option<Bytes> = None;
         let mut all = BytesMut::new();
         while let Some(data) = poll_fn(|cx| self.poll_data(cx, &mut body)).await {
             let data = data?;
             let length = all.len() + first.as_ref().map_or(0, Bytes::len) + data.len();
-            if length > MAX_RESPONSE_BYTES || !reservation.try_grow_to(length) {
+            if length > MAX_RESPONSE_BYTES {
                 return Err(ResponseError::TooLarge);
             }
+            reservation.grow_to(length).await.map_err(|_| ResponseError::TooLarge)?;
             match first.take() {
                 None if all.is_empty() => first = Some(data),
                 earlier => {
+                    all.reserve(announced.saturating_sub(all.len()));
                     all.extend_from_slice(&earlier.unwrap_or_default());
                     all.extend_from_slice(&data);
                 }
             }
         }
-        Ok(first.unwrap_or_else(|| all.freeze()))
+        let bytes = first.unwrap_or_else(|| all.freeze());
+        Ok(BufferedBody { bytes, reservation })
     }
 
     /// Ends the request after a complete response. `keep_alive` is how long the server keeps the connection
--- a/crates/quillpulley/tests/proxy/slow_readers.rs
+++ b/crates/quillpulley/tests/proxy/slow_readers.rs
@@ -6,6 +6,8 @@
 
 /// Length of an answer that does not fit into the buffers of the kernel, in bytes.
 const LONG_ANSWER_BYTES: usize = 8_100_000;
+/// Settings with which the memory for bodies is hardly longer than one such answer.
+const LITTLE_MEMORY: &str = "[Limits]\nMemoryMb = 24\n";
 
 /// Returns the configuration with a low `IdleTimeoutMs`.
 fn configuration_with_low_idle_timeout(version: u64, routes: &[&str]) -> String {
@@ -33,3 +35,42 @@
         assert_eq!(client.read_body(&head).await.len(), LONG_ANSWER_BYTES);
     });
 }
+
+/// Guards against a proxy that grows beyond its memory because clients do not read their answers.
+#[test]
+fn the_memory_of_an_answer_is_held_until_it_was_written() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let configuration = configuration(1, &[&route("a", "non_idempotent", "")]);
+        let proxy = Proxy::start_with_bounds(LITTLE_MEMORY, &configuration, &[&one]).await;
+        let mut client = proxy.client().await;
+        client.send(&request("GET /a/b", "id-1", "", "")).await;
+        one.next_call().await.respond_ok(&"x".repeat(LONG_ANSWER_BYTES)).await;
+        let head = client.read_head().await;
+
+        let long_body = "x".repeat(100_000);
+        let rejected = proxy.client().await.fetch(&request("POST /a/b", "id-2", "", &long_body)).await;
+        assert_eq!(rejected.status(), 503);
+        let mut other = proxy.client().await;
+        other.send(&request("POST /a/b", "id-3", "", "short")).await;
+        one.next_call().await.respond_ok("ok").await;
+        assert_eq!(other.read_response().await.text(), "ok");
+
+        client.read_body(&head).await;
+        // The proxy may notice a moment later that the last byte was written.
+        let mut attempts = 0;
+        loop {
+            attempts += 1;
+            let mut later = proxy.client().await;
+            later.send(&request("POST /a/b", &format!("later-{attempts}"), "", &long_body)).await;
+            tokio::select! {
+                call = one.next_call() => {
+                    call.respond_ok("ok").await;
+                    assert_eq!(later.read_response().await.text(), "ok");
+                    break;
+                }
+                response = later.read_response() => assert_eq!(response.status(), 503),
+            }
+        }
+    });
+}
