A request is open until its answer was written

What callers saw: a copy of a request with the same id was forwarded while the first answer was still being written.

Cause: the id was given back when the answer had been handed to hyper. Evidence: slow_readers::a_request_is_open_until_its_answer_was_written fails before (504 of a second run instead of 503). Mend: the connection holds the id until the answer is written or the connection has ended.

--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -49,7 +49,7 @@
 /// A request that was accepted.
 struct AcceptedRequest {
     context: RequestContext,
-    /// The registration of the request.
+    /// The registration of the request, which is held until the response was written.
     open_request: OpenRequest,
     /// The memory of the body of the request.
     reservation: BufferReservation,
@@ -158,7 +158,8 @@
         accepted: AcceptedRequest,
         connection: &Rc<ServerConnection>,
     ) -> Result<ClientResponse, LocalResponse> {
-        let AcceptedRequest { context, open_request: _open_request, reservation } = accepted;
+        let AcceptedRequest { context, open_request, reservation } = accepted;
+        connection.hold_until_written(open_request);
         let deadline = context.request.deadline;
         let mut forwarding = Box::new(Forwarding::new(self.state.clone(), context));
         match forwarding.forward().await {
--- a/crates/quillpulley/tests/proxy/slow_readers.rs
+++ b/crates/quillpulley/tests/proxy/slow_readers.rs
@@ -36,6 +36,23 @@
     });
 }
 
+/// Guards against a second run of a request whose answer is still being read.
+#[test]
+fn a_request_is_open_until_its_answer_was_written() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let proxy = Proxy::start(&configuration(1, &[&route("a", "non_idempotent", "")]), &[&one]).await;
+        let mut client = proxy.client().await;
+        client.send(&request("GET /a/b", "id-1", "", "")).await;
+        one.next_call().await.respond_ok(&"x".repeat(LONG_ANSWER_BYTES)).await;
+        let head = client.read_head().await;
+        let duplicate = proxy.client().await.fetch(&request("GET /a/b", "id-1", "", "")).await;
+        assert_eq!(duplicate.status(), 503);
+        assert!(!one.has_call());
+        client.read_body(&head).await;
+    });
+}
+
 /// Guards against a proxy that grows beyond its memory because clients do not read their answers.
 #[test]
 fn the_memory_of_an_answer_is_held_until_it_was_written() {
