--- a/crates/quillpulley/tests/system/processes.rs
+++ b/crates/quillpulley/tests/system/processes.rs
@@ -66,16 +66,28 @@
 
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
-        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("TERM");
+    }
+
+    /// Sends a signal, which is named without `SIG`, to the process.
+    pub fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(kill.expect("kill starts").success());
     }
 
+    /// Returns the exit code of a process that has exited; `None` if it still runs. The code is `None` if a signal
+    /// has ended it.
+    pub fn exit_code(&mut self) -> Option<Option<i32>> {
+        let status = self.child.try_wait().expect("the status of the process")?;
+        Some(status.code())
+    }
+
     /// Waits until the process has exited. Returns its exit code.
     pub fn wait_for_exit(&mut self) -> Option<i32> {
         let started = Instant::now();
         loop {
-            if let Some(status) = self.child.try_wait().expect("the status of the process") {
-                return status.code();
+            if let Some(code) = self.exit_code() {
+                return code;
             }
             assert!(started.elapsed() < TIMEOUT, "{} does not exit", self.role);
             self.next_line();
