The operators' API and the directory serve callers that stall without holding up others

Cause: six threads read bodies without a limit, and two wrote. tiny_http gives no access to its sockets, so that neither a time limit nor the end of a connection can be had from it. An order was executed whoever still waited for it.

Mend: both listeners are served by the connections of http1-client, one thread each, that waits for no caller. A body has 5 s and the time that its announced length takes at 10 Mbit/s, then 408; it takes memory as it arrives, of 32 MB. An order whose connection has ended is not delivered, and one whose connection ends before it is decided is not executed; both get 503. Reads are answered also if the caller has only ended its sending. The bytes on the wire are the same (tests of control/api.rs).

A process that ends waits for the responses that it is writing, for a second at most.

--- a/crates/http1-client/src/connection_manager.rs
+++ b/crates/http1-client/src/connection_manager.rs
@@ -52,6 +52,9 @@
     /// The minimum idle time before a connection on which no complete head of a request has arrived is closed
     /// to make room for a new one.
     pub first_request_grace: Duration,
+    /// The minimum time for which a request must have been arriving before its connection is closed to make room
+    /// for a new one. If it is `None`, connections are not closed for that.
+    pub receive_grace: Option<Duration>,
     /// The maximum time for which a client may read nothing of a response that waits for it. The connection
     /// is closed then.
     pub write_stall_timeout: Duration,
@@ -61,6 +64,10 @@
     /// The delay before accepting is retried after a failure, which most likely means that there are no free
     /// file descriptors, or when all connections are busy.
     pub accept_retry_delay: Duration,
+    /// Whether the heads of responses have the names of their headers in title case, and no date.
+    pub plain_heads: bool,
+    /// Whether a client that has ended its sending still gets its response.
+    pub half_close: bool,
 }
 
 /// All incoming connections of a listener.
@@ -107,6 +114,7 @@
                 }
                 Err(error) => {
                     service.accept_failed(&error);
+                    self.make_room();
                     sleep(accept_retry_delay).await;
                 }
             }
@@ -169,12 +177,22 @@
         true
     }
 
-    /// Makes room for a connection: asks the connection that should be closed first to close, or closes a
-    /// stalled one if all are busy.
+    /// Makes room for a connection: asks the connection that should be closed first to close. If all are busy,
+    /// closes one whose client does not read its response, or has not sent its request.
     fn make_room(&self) {
-        if !self.close_most_idle() {
-            self.close_most_stalled();
-        }
+        let _ = self.close_most_idle() || self.close_most_stalled() || self.close_slowest_request();
+    }
+
+    /// Closes the connection whose request has been arriving for longest, at least for
+    /// [`ConnectionOptions::receive_grace`]. Returns whether there is one.
+    fn close_slowest_request(&self) -> bool {
+        let Some(grace) = self.options.get().receive_grace else { return false };
+        let connections = self.connections.borrow();
+        let receiving = connections.values().filter_map(|each| Some((each.receiving_since()?, each)));
+        let receiving = receiving.filter(|(since, _)| since.elapsed() > grace);
+        let Some((_, connection)) = receiving.min_by_key(|(since, _)| *since) else { return false };
+        connection.close_now();
+        true
     }
 
     /// Asks the connection that should be closed first to close. Returns whether any may be closed.
--- a/crates/http1-client/src/connection_phase.rs
+++ b/crates/http1-client/src/connection_phase.rs
@@ -6,7 +6,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Event {
     /// The complete head of a request has arrived.
-    RequestArrived,
+    HeadArrived,
+    /// The request has been read completely.
+    RequestReceived,
     /// The body of the response was read completely, or dropped. Some of its bytes may not be written yet.
     ResponseEnded,
     /// Every byte of the response was handed to the kernel.
@@ -23,7 +25,12 @@
         /// When the connection was accepted, or when the last response was written.
         since: Instant,
     },
-    /// A request is open, and its response is not complete.
+    /// The head of a request has arrived, and its body may not have arrived completely.
+    Receiving {
+        /// When the head had arrived.
+        since: Instant,
+    },
+    /// A request has been read, and its response is not complete.
     Responding,
     /// The response is complete, but some of its bytes wait for the client to read.
     Writing,
@@ -33,11 +40,12 @@
     /// Returns the phase after an event. Every change of the phase happens here.
     pub(crate) fn after(self, event: Event, now: Instant) -> Phase {
         match (self, event) {
-            (_, Event::RequestArrived) => Phase::Responding,
-            (Phase::Responding, Event::ResponseEnded) => Phase::Writing,
+            (_, Event::HeadArrived) => Phase::Receiving { since: now },
+            (Phase::Receiving { .. }, Event::RequestReceived) => Phase::Responding,
+            (Phase::Receiving { .. } | Phase::Responding, Event::ResponseEnded) => Phase::Writing,
             (Phase::Writing, Event::ResponseWritten) | (_, Event::LingerBegan) => Phase::Idle { since: now },
             // The start of a streamed response is written before its end is known.
-            (_, Event::ResponseEnded | Event::ResponseWritten) => self,
+            (_, Event::RequestReceived | Event::ResponseEnded | Event::ResponseWritten) => self,
         }
     }
 
@@ -45,7 +53,15 @@
     pub(crate) fn idle_since(self) -> Option<Instant> {
         match self {
             Phase::Idle { since } => Some(since),
-            Phase::Responding | Phase::Writing => None,
+            Phase::Receiving { .. } | Phase::Responding | Phase::Writing => None,
+        }
+    }
+
+    /// Returns since when a request is being received, or `None` if none is.
+    pub(crate) fn receiving_since(self) -> Option<Instant> {
+        match self {
+            Phase::Receiving { since } => Some(since),
+            Phase::Idle { .. } | Phase::Responding | Phase::Writing => None,
         }
     }
 }
--- a/crates/http1-client/src/server_connection.rs
+++ b/crates/http1-client/src/server_connection.rs
@@ -110,6 +110,12 @@
         &self.socket
     }
 
+    /// Records that the current request has been read completely. Until then its connection may be closed to
+    /// make room (see [`ConnectionOptions::receive_grace`]).
+    pub fn request_received(&self) {
+        self.handle(Event::RequestReceived);
+    }
+
     /// Closes the connection once `deadline` is over if bytes of the current response still wait for the
     /// client to read. Called while a request is open.
     pub fn set_write_deadline(&self, deadline: Instant) {
@@ -185,6 +191,11 @@
         self.phase.get().idle_since().is_some_and(|since| since.elapsed() > idle_grace)
     }
 
+    /// Returns since when a request is being received; `None` if none is.
+    pub(crate) fn receiving_since(&self) -> Option<Instant> {
+        self.phase.get().receiving_since()
+    }
+
     /// Returns since when the client has read nothing of a response that waits for it; `None` if none waits.
     pub(crate) fn stalled_since(&self) -> Option<Instant> {
         self.socket.write_blocked_since()
@@ -229,6 +240,8 @@
             http.timer(TokioTimer::new()).header_read_timeout(header_timeout);
         }
         http.max_buf_size(options.max_header_bytes);
+        http.half_close(options.half_close);
+        http.title_case_headers(options.plain_heads).auto_date_header(!options.plain_heads);
         let io = TokioIo::new(SocketIo(self.socket.clone()));
         let mut connection = pin!(http.serve_connection(io, respond));
         let mut write_timer = WriteTimer::new(options.write_stall_timeout);
@@ -345,7 +358,7 @@
 
 impl OpenRequest {
     fn new(connection: Rc<ServerConnection>) -> Self {
-        connection.handle(Event::RequestArrived);
+        connection.handle(Event::HeadArrived);
         OpenRequest(connection)
     }
 }
--- a/crates/http1-client/tests/server_connection/support.rs
+++ b/crates/http1-client/tests/server_connection/support.rs
@@ -49,9 +49,12 @@
         linger: Linger { time: Duration::from_millis(100), bytes: 1024 },
         idle_grace: Duration::ZERO,
         first_request_grace: Duration::ZERO,
+        receive_grace: Some(TEST_TIMEOUT),
         write_stall_timeout: TEST_TIMEOUT,
         write_stall_grace: TEST_TIMEOUT,
         accept_retry_delay: Duration::from_millis(1),
+        plain_heads: false,
+        half_close: false,
     }
 }
 
--- a/crates/quillpulley/src/control/api/mod.rs
+++ b/crates/quillpulley/src/control/api/mod.rs
@@ -1,30 +1,36 @@
 //! The operator API: reads requests, passes them to the main thread, and writes its responses.
 //!
-//! Reader threads parse requests and never wait for a response. The main thread decides the responses, and
-//! writer threads write them, so that neither a slow caller nor a command in flight delays other requests.
-//! Immediately before a response is written, the writer checks the clock: if the lease on which the response
-//! relies has ended, the caller is asked to retry.
+//! One thread serves all connections, and waits for no caller. The main thread decides the responses. Immediately
+//! before a response is written, the clock is checked: if the lease on which the response relies has ended, the
+//! caller is asked to retry. A command whose caller has closed its connection is not executed: the caller has sent
+//! it again elsewhere, and may have ordered the opposite since.
 
-pub mod http;
 mod render;
 mod request;
 
 pub use request::{Operation, MAX_BODY_BYTES};
 
+use crate::buffer_budget::BufferBudget;
 use crate::control::clock::Clock;
+use crate::control::http::{self, Handler, JsonResponse};
 use crate::control::response::{Response, TimedResponse};
 use crate::HostError;
-use http::Handler;
-use request::RequestError;
+use hyper::body::Incoming;
+use hyper::Request;
+use quillpulley_http1_client::{ServerConnection, Socket};
+use request::ReceivedOperation;
+use std::future::{pending, poll_fn, Future};
 use std::net::TcpListener;
-use std::sync::mpsc::{self, Receiver, Sender};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
-use tiny_http::Request;
+use tokio::sync::oneshot;
 
-const READER_THREADS: usize = 6;
-const WRITER_THREADS: usize = 2;
+/// Maximum memory of the bodies that are being read, or wait for the main thread, in bytes.
+const BODY_MEMORY_BYTES: usize = 32 * 1024 * 1024;
 
 /// A request from an operator, with the handle through which it is answered.
 pub struct ApiRequest {
@@ -36,26 +42,49 @@
     pub responder: Responder,
 }
 
-/// Sends the response to one request. If it is dropped unused, the caller gets status 500.
+/// Sends the response to one request. If it is dropped unused, the caller is asked to retry.
 pub struct Responder {
-    request: Request,
-    responses: Sender<PendingResponse>,
-}
-
-struct PendingResponse {
-    request: Request,
-    response: TimedResponse,
+    response: oneshot::Sender<TimedResponse>,
 }
 
 impl Responder {
-    /// Passes the response to a writer thread, which writes it if it is still valid by then, and asks the
-    /// caller to retry otherwise.
+    /// Passes on the response, which is written if it is still valid by then. Otherwise the caller is asked to
+    /// retry.
     pub fn send(self, response: TimedResponse) {
-        let pending = PendingResponse { request: self.request, response };
-        if self.responses.send(pending).is_err() {
-            log::warn!("a response to an operator is lost: all writer threads have ended");
+        if self.response.send(response).is_err() {
+            log::debug!("a response is dropped: its caller has gone");
         }
     }
+
+    /// Returns whether the caller has closed its connection.
+    pub fn caller_has_gone(&self) -> bool {
+        self.response.is_closed()
+    }
+}
+
+/// The responses that are being written.
+#[derive(Clone, Default)]
+pub struct UnwrittenResponses(Arc<AtomicUsize>);
+
+impl UnwrittenResponses {
+    /// Returns whether every response was written, or its caller has gone.
+    pub fn is_empty(&self) -> bool {
+        self.0.load(Ordering::Acquire) == 0
+    }
+
+    fn add(&self) -> UnwrittenResponse {
+        self.0.fetch_add(1, Ordering::AcqRel);
+        UnwrittenResponse(self.0.clone())
+    }
+}
+
+/// A response that is being written until this is dropped.
+struct UnwrittenResponse(Arc<AtomicUsize>);
+
+impl Drop for UnwrittenResponse {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 quillpulley_fault_injection::define_faults! {
@@ -68,13 +97,14 @@
 }
 
 /// Serves the API on `listener`. `deliver` passes a request to the main thread, or returns it if the main
-/// thread is overloaded. The expiry of responses is checked against `clock`.
+/// thread is overloaded. The expiry of responses is checked against `clock`. Returns the responses that are being
+/// written.
 ///
 /// # Errors
-/// [`HostError::Runtime`] if the threads cannot be started.
-pub fn serve<D>(listener: TcpListener, clock: Clock, deliver: D) -> Result<(), HostError>
+/// [`HostError::Runtime`] if the thread cannot be started.
+pub fn serve<D>(listener: TcpListener, clock: Clock, deliver: D) -> Result<UnwrittenResponses, HostError>
 where
-    D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + Send + Sync + 'static,
+    D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + Send + 'static,
 {
     serve_with_faults(listener, clock, Faults::default(), deliver)
 }
@@ -86,67 +116,91 @@
     clock: Clock,
     faults: Faults,
     deliver: D,
-) -> Result<(), HostError>
+) -> Result<UnwrittenResponses, HostError>
 where
-    D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + Send + Sync + 'static,
+    D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + Send + 'static,
 {
-    let (responses, pending) = mpsc::channel();
-    let reader_clock = clock.clone();
-    let writer = Writer { pending: Arc::new(Mutex::new(pending)), clock, faults };
-    for _ in 0..WRITER_THREADS {
-        let writer = writer.clone();
-        thread::Builder::new().spawn(move || writer.write_all()).map_err(HostError::Runtime)?;
-    }
-    let handler: Handler =
-        Arc::new(move |request| handle_request(request, reader_clock.now(), &responses, &deliver));
-    http::serve(listener, READER_THREADS, handler)
+    let unwritten = UnwrittenResponses::default();
+    let added = unwritten.clone();
+    http::serve(listener, move || ApiHandler {
+        clock,
+        faults,
+        deliver,
+        unwritten: added,
+        bodies: BufferBudget::new(BODY_MEMORY_BYTES),
+    })?;
+    Ok(unwritten)
 }
 
-/// The state that the writer threads share.
-#[derive(Clone)]
-struct Writer {
-    pending: Arc<Mutex<Receiver<PendingResponse>>>,
+/// Handles the requests on all connections.
+struct ApiHandler<D> {
     clock: Clock,
     faults: Faults,
+    deliver: D,
+    unwritten: UnwrittenResponses,
+    bodies: BufferBudget,
 }
 
-impl Writer {
-    fn write_all(&self) {
-        loop {
-            let next = self.pending.lock().unwrap_or_else(PoisonError::into_inner).recv();
-            let Ok(PendingResponse { request, response }) = next else { return };
-            self.write(request, response);
-        }
-    }
-
-    fn write(&self, request: Request, response: TimedResponse) {
-        let response = match self.faults.skip_lease_check() {
-            true => response.unchecked().clone(),
-            false => response.checked_by(&self.clock),
+impl<D> Handler for ApiHandler<D>
+where
+    D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + 'static,
+{
+    async fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        connection: &Rc<ServerConnection>,
+    ) -> JsonResponse {
+        let received_at = self.clock.now();
+        let target = request.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
+        let received = match request::read(request, &self.bodies).await {
+            Ok(received) => received,
+            Err(error) => return render::error(error.status(), &error.to_string()),
         };
-        let response = render::render(request.url(), response);
-        http::respond(request, response);
+        connection.request_received();
+        let ReceivedOperation { operation, reservation } = received;
+        let response = self.decide(operation, received_at, connection.socket()).await;
+        drop(reservation);
+        connection.hold_until_written(self.unwritten.add());
+        render::render(&target, response)
     }
 }
 
-fn handle_request<D>(
-    mut request: Request,
-    received_at: Duration,
-    responses: &Sender<PendingResponse>,
-    deliver: &D,
-) where
-    D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>>,
+impl<D> ApiHandler<D>
+where
+    D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + 'static,
 {
-    match request::parse(&mut request) {
-        Ok(operation) => {
-            let responder = Responder { request, responses: responses.clone() };
-            if let Err(returned) = deliver(Box::new(ApiRequest { operation, received_at, responder })) {
-                returned.responder.send(TimedResponse::without_expiry(Response::Unavailable));
+    /// Has the main thread decide an operation. A command is given up if its caller closes the connection.
+    async fn decide(&self, operation: Operation, received_at: Duration, socket: &Socket) -> Response {
+        let is_command = matches!(operation, Operation::Execute(_));
+        let mut caller_gone = pin!(async {
+            match is_command {
+                true => socket.peer_closed().await,
+                // A caller that has only ended its sending still reads, and reading changes nothing.
+                false => pending().await,
             }
+        });
+        // The end of the connection may have arrived right behind the command.
+        if poll_fn(|cx| Poll::Ready(caller_gone.as_mut().poll(cx).is_ready())).await {
+            return Response::Unavailable;
+        }
+        let (sender, decided) = oneshot::channel();
+        let responder = Responder { response: sender };
+        let request = Box::new(ApiRequest { operation, received_at, responder });
+        if (self.deliver)(request).is_err() {
+            return Response::Unavailable;
         }
-        Err(RequestError::Incomplete(reason)) => {
-            log::debug!(reason = reason.as_str(); "received an incomplete request from an operator");
+        tokio::select! {
+            biased;
+            decided = decided => decided.map_or(Response::Unavailable, |response| self.checked(response)),
+            () = caller_gone => Response::Unavailable,
+        }
+    }
+
+    /// Returns a response if it is still valid.
+    fn checked(&self, response: TimedResponse) -> Response {
+        match self.faults.skip_lease_check() {
+            true => response.unchecked().clone(),
+            false => response.checked_by(&self.clock),
         }
-        Err(error) => http::respond(request, render::error(error.status(), &error.to_string())),
     }
 }
--- a/crates/quillpulley/src/control/api/request.rs
+++ b/crates/quillpulley/src/control/api/request.rs
@@ -1,13 +1,22 @@
-//! Parsing of operator requests.
+//! Reading of operator requests.
 
-use super::http;
+use crate::buffer_budget::{BufferBudget, BufferReservation};
 use crate::control::commands::Command;
+use crate::control::http::url;
 use displaydoc::Display;
-use std::io::Read;
-use tiny_http::{Method, Request};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, StatusCode};
+use std::time::Duration;
+use tokio::time::timeout;
 
 /// Maximum length of a request body, in bytes.
 pub const MAX_BODY_BYTES: usize = 4_500_000;
+/// Maximum time to read a body, besides the time that its bytes take on the slowest link.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Rate of the slowest link of a deployment (10 Mbit/s), in bytes per second.
+const SLOWEST_LINK_RATE: f64 = 1_250_000.0;
 const BASE_VERSION_HEADER: &str = "Quillpulley-If-Config-Version";
 
 /// The operation that an operator requests.
@@ -21,6 +30,12 @@
     ReadStatus,
 }
 
+/// An operation, with the memory that is reserved for its body.
+pub(super) struct ReceivedOperation {
+    pub operation: Operation,
+    pub reservation: BufferReservation,
+}
+
 /// The reason why a request is rejected.
 #[derive(Debug, Display)]
 pub(super) enum RequestError {
@@ -34,42 +49,54 @@
     NoZone,
     /// the body is longer than {limit} bytes: send a smaller configuration
     BodyTooLong { limit: usize },
-    /// {0}
-    Incomplete(String),
+    /// the body did not arrive in time: send it again
+    BodyTimeout,
+    /// there is no memory for the body now: send it again
+    NoMemory,
+    /// the body ended early: send it again
+    Incomplete,
 }
 
 impl RequestError {
     /// Returns the HTTP status code of the response.
-    pub fn status(&self) -> u16 {
+    pub fn status(&self) -> StatusCode {
         match self {
-            RequestError::UnknownPath(_) => 404,
-            RequestError::WrongMethod { .. } => 405,
-            RequestError::NoBaseVersion | RequestError::NoZone | RequestError::Incomplete(_) => 400,
-            RequestError::BodyTooLong { .. } => 413,
+            RequestError::UnknownPath(_) => StatusCode::NOT_FOUND,
+            RequestError::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
+            RequestError::NoBaseVersion | RequestError::NoZone => StatusCode::BAD_REQUEST,
+            RequestError::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            RequestError::NoMemory | RequestError::Incomplete => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
 
-/// Parses a request, and reads its body if the operation has one.
-pub(super) fn parse(request: &mut Request) -> Result<Operation, RequestError> {
-    let path = http::path(request.url()).to_string();
-    let method = request.method().clone();
+/// Reads a request, with its body if the operation has one, for which memory is reserved from `bodies`.
+pub(super) async fn read(
+    request: Request<Incoming>,
+    bodies: &BufferBudget,
+) -> Result<ReceivedOperation, RequestError> {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path().to_string();
+    let method = head.method.clone();
+    let mut reservation = bodies.reservation();
     let name = path.strip_prefix("/v1/").unwrap_or_default();
-    match name.split_once('/').unwrap_or((name, "")) {
+    let operation = match name.split_once('/').unwrap_or((name, "")) {
         ("Config.Replace", "") => {
-            expect_method(method, Method::Post)?;
-            parse_replacement(request)
+            expect_method(method, Method::POST)?;
+            read_replacement(&head, body, &mut reservation).await
         }
-        ("Config.Get", "") => expect_method(method, Method::Get).map(|()| Operation::ReadConfiguration),
-        ("Control.Status", "") => expect_method(method, Method::Get).map(|()| Operation::ReadStatus),
+        ("Config.Get", "") => expect_method(method, Method::GET).map(|()| Operation::ReadConfiguration),
+        ("Control.Status", "") => expect_method(method, Method::GET).map(|()| Operation::ReadStatus),
         ("Evacuate.Start", zone) => {
-            expect_method(method, Method::Post).and_then(|()| parse_evacuation(zone, true))
+            expect_method(method, Method::POST).and_then(|()| parse_evacuation(zone, true))
         }
         ("Evacuate.End", zone) => {
-            expect_method(method, Method::Post).and_then(|()| parse_evacuation(zone, false))
+            expect_method(method, Method::POST).and_then(|()| parse_evacuation(zone, false))
         }
         _ => Err(RequestError::UnknownPath(path)),
-    }
+    }?;
+    Ok(ReceivedOperation { operation, reservation })
 }
 
 fn expect_method(method: Method, expected: Method) -> Result<(), RequestError> {
@@ -79,37 +106,57 @@
     Err(RequestError::WrongMethod { method, expected })
 }
 
-fn parse_replacement(request: &mut Request) -> Result<Operation, RequestError> {
-    let base = http::header(request, BASE_VERSION_HEADER).and_then(|value| value.trim().parse().ok());
-    let body = read_body(request)?;
+async fn read_replacement(
+    head: &Parts,
+    body: Incoming,
+    reservation: &mut BufferReservation,
+) -> Result<Operation, RequestError> {
+    let base = head.headers.get(BASE_VERSION_HEADER).and_then(|value| value.to_str().ok());
+    let base = base.and_then(|value| value.trim().parse().ok());
+    let body = read_body(body, reservation).await?;
     let base = base.ok_or(RequestError::NoBaseVersion)?;
     Ok(Operation::Execute(Command::Replace { base, body }))
 }
 
 fn parse_evacuation(zone: &str, active: bool) -> Result<Operation, RequestError> {
-    let zone = http::percent_decode(zone);
+    let zone = url::percent_decode(zone);
     if zone.is_empty() || zone.contains('/') {
         return Err(RequestError::NoZone);
     }
     Ok(Operation::Execute(Command::Evacuate { zone, active }))
 }
 
-/// Reads a complete body. A body that ends before its announced length is rejected.
-fn read_body(request: &mut Request) -> Result<Vec<u8>, RequestError> {
-    let length = request.body_length();
-    if length.is_some_and(|length| length > MAX_BODY_BYTES) {
-        return Err(RequestError::BodyTooLong { limit: MAX_BODY_BYTES });
-    }
-    let mut body = Vec::with_capacity(length.unwrap_or(0));
-    let mut limited = request.as_reader().take(MAX_BODY_BYTES as u64 + 1);
-    limited.read_to_end(&mut body).map_err(|error| RequestError::Incomplete(error.to_string()))?;
-    if body.len() > MAX_BODY_BYTES {
+/// Reads a complete body in a time that depends on its announced length. A body that ends before that length is
+/// rejected.
+async fn read_body(body: Incoming, reservation: &mut BufferReservation) -> Result<Vec<u8>, RequestError> {
+    let size = body.size_hint();
+    if size.lower() > MAX_BODY_BYTES as u64 {
         return Err(RequestError::BodyTooLong { limit: MAX_BODY_BYTES });
     }
-    match length {
-        Some(length) if length != body.len() => {
-            Err(RequestError::Incomplete(format!("{} of {length} bytes came", body.len())))
+    let announced = size.exact().unwrap_or(MAX_BODY_BYTES as u64);
+    let time = BODY_TIMEOUT + Duration::from_secs_f64(announced as f64 / SLOWEST_LINK_RATE);
+    let reading = collect(body, size.exact().unwrap_or(0) as usize, reservation);
+    timeout(time, reading).await.unwrap_or(Err(RequestError::BodyTimeout))
+}
+
+/// Reads a body to its end. Memory is reserved as it arrives, so that bodies that do not arrive take none.
+async fn collect(
+    mut body: Incoming,
+    announced: usize,
+    reservation: &mut BufferReservation,
+) -> Result<Vec<u8>, RequestError> {
+    let mut all = Vec::with_capacity(announced);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| RequestError::Incomplete)?;
+        let Ok(data) = frame.into_data() else { continue };
+        let length = all.len() + data.len();
+        if length > MAX_BODY_BYTES {
+            return Err(RequestError::BodyTooLong { limit: MAX_BODY_BYTES });
+        }
+        if !reservation.try_grow_to(length) {
+            return Err(RequestError::NoMemory);
         }
-        _ => Ok(body),
+        all.extend_from_slice(&data);
     }
+    Ok(all)
 }
--- a/crates/quillpulley/src/control/commands.rs
+++ b/crates/quillpulley/src/control/commands.rs
@@ -91,21 +91,31 @@
     next_number: u64,
     responses: Vec<(R, Response)>,
     evacuations: EvacuationOrder,
+    /// Returns whether a caller has closed its connection.
+    caller_has_gone: fn(&R) -> bool,
 }
 
 impl<R> Default for CommandQueue<R> {
+    /// Creates a queue whose callers never close their connections.
     fn default() -> Self {
+        CommandQueue::new(|_| false)
+    }
+}
+
+impl<R> CommandQueue<R> {
+    /// Creates an empty queue. A command is not executed if `caller_has_gone` by the time it is decided: its
+    /// caller has sent it again elsewhere, and may have ordered the opposite since.
+    pub fn new(caller_has_gone: fn(&R) -> bool) -> Self {
         CommandQueue {
             queued: VecDeque::new(),
             in_flight: None,
             next_number: 1,
             responses: Vec::new(),
             evacuations: EvacuationOrder::default(),
+            caller_has_gone,
         }
     }
-}
 
-impl<R> CommandQueue<R> {
     /// Queues a command whose request head was received at `received_at`. Responds with
     /// [`Response::Unavailable`] at once if the queue is full. A configuration expires [`RESPONSE_TIMEOUT`]
     /// after `now`, so that the time to read its body does not count as waiting; an evacuation command
@@ -141,6 +151,11 @@
     pub fn next_proposal(&mut self, state: &ControlState) -> Option<Proposal> {
         while self.in_flight.is_none() {
             let queued = self.queued.pop_front()?;
+            if (self.caller_has_gone)(&queued.responder) {
+                log::info!(command:% = queued.command; "command not executed: its caller has gone");
+                self.responses.push((queued.responder, Response::Unavailable));
+                continue;
+            }
             match self.decide_in_order(state, &queued) {
                 Decision::Respond(response) => {
                     if let Response::Invalid(reason) = &response {
--- a/crates/quillpulley/src/control/mod.rs
+++ b/crates/quillpulley/src/control/mod.rs
@@ -22,6 +22,7 @@
 pub mod discovery;
 pub mod distribution;
 mod evacuation_order;
+pub mod http;
 pub mod replica_host;
 pub mod response;
 
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -63,7 +63,7 @@
             replica,
             storage,
             directory,
-            commands: CommandQueue::default(),
+            commands: CommandQueue::new(Responder::caller_has_gone),
             publisher: LeaderPublisher::default(),
         };
         host.learn_control_nodes(now);
--- a/crates/quillpulley/src/control/replica_host/process.rs
+++ b/crates/quillpulley/src/control/replica_host/process.rs
@@ -3,10 +3,11 @@
 use super::components::Components;
 use super::host::ControlHost;
 use super::storage_thread::{StorageThread, WriteCompletion};
-use crate::control::api::{self, http, ApiRequest};
+use crate::control::api::{self, ApiRequest, UnwrittenResponses};
 use crate::control::clock::Clock;
 use crate::control::directory::{self, DirectoryHandle};
 use crate::control::discovery::fetcher::{Fetched, Fetcher};
+use crate::control::http;
 use crate::peer::{bind, PeerEvent, Peers};
 use crate::signals::{self, ProcessSignal};
 use crate::{runtime, HostError, Settings};
@@ -16,7 +17,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 use tokio::sync::mpsc::{channel, unbounded_channel, Receiver, UnboundedReceiver, UnboundedSender};
-use tokio::time::{interval, sleep_until, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep, sleep_until, Instant, MissedTickBehavior};
 
 /// Interval between the ticks of the host.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
@@ -26,6 +27,10 @@
 /// A process that shuts down exits at the latest this long before it is killed, even if its data is not safe
 /// on another node.
 const KILL_MARGIN: Duration = Duration::from_secs(1);
+/// Maximum time for which a process that may exit waits until its responses were written.
+const MAX_RESPONSE_WRITE_TIME: Duration = Duration::from_secs(1);
+/// Interval at which such a process looks for responses that are being written.
+const RESPONSE_WRITE_INTERVAL: Duration = Duration::from_millis(10);
 /// Exit code after a panic.
 const PANIC_EXIT_CODE: i32 = 101;
 /// Maximum number of operator requests that wait for the main thread.
@@ -43,6 +48,7 @@
     threads: UnboundedReceiver<ThreadEvent>,
     requests: Receiver<Box<ApiRequest>>,
     signals: UnboundedReceiver<ProcessSignal>,
+    unwritten: UnwrittenResponses,
 }
 
 /// Runs a control node until it has shut down.
@@ -85,7 +91,7 @@
     }
     let (request_sender, requests) = channel(REQUEST_QUEUE_CAPACITY);
     let address = settings.control_address()?;
-    api::serve(listen(address).await?, clock.clone(), move |request| {
+    let unwritten = api::serve(listen(address).await?, clock.clone(), move |request| {
         request_sender.try_send(request).map_err(|rejected| rejected.into_inner())
     })?;
 
@@ -98,7 +104,8 @@
     let now = clock.now();
     let replica = Replica::new(options(&settings, me), recovered, ControlState::default(), now)?;
     let components = Components { clock, me, peers, replica, storage, fetcher, directory };
-    let sources = EventSources { peers: peer_events, threads, requests, signals: signals::subscribe()? };
+    let sources =
+        EventSources { peers: peer_events, threads, requests, signals: signals::subscribe()?, unwritten };
     Ok((ControlHost::new(settings, components), sources))
 }
 
@@ -145,6 +152,15 @@
             Some(request) = sources.requests.recv() => host.handle_request(*request),
         }
     }
+    write_responses(&sources.unwritten).await;
+}
+
+/// Waits until the responses that were decided have been written, for a limited time.
+async fn write_responses(unwritten: &UnwrittenResponses) {
+    let deadline = Instant::now() + MAX_RESPONSE_WRITE_TIME;
+    while !unwritten.is_empty() && Instant::now() < deadline {
+        sleep(RESPONSE_WRITE_INTERVAL).await;
+    }
 }
 
 fn begin_shutdown(host: &mut ControlHost) -> ExitWindow {
--- a/crates/quillpulley/src/lib.rs
+++ b/crates/quillpulley/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod agent;
+pub mod buffer_budget;
 pub mod control;
 mod error;
 pub mod peer;
--- a/crates/quillpulley/src/proxy/admission/mod.rs
+++ b/crates/quillpulley/src/proxy/admission/mod.rs
@@ -2,8 +2,6 @@
 //!
 //! Queued requests are admitted as soon as capacity becomes available, before requests that arrive later.
 
-pub mod buffer_budget;
-
 use crate::proxy::downstream::request::RequestContext;
 use crate::proxy::upstream::upstream_request::UpstreamRequest;
 use crate::proxy::upstream::upstreams::{CapacityListener, Upstreams};
--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -4,7 +4,7 @@
 //! and `respond` (of [`Service`]) returns the response. If the client closes its connection, the request ends
 //! in any of them.
 
-use crate::proxy::admission::buffer_budget::BufferReservation;
+use crate::buffer_budget::BufferReservation;
 use crate::proxy::config::active_config::{ActiveConfig, RouteDecision};
 use crate::proxy::downstream::local_response::LocalResponse;
 use crate::proxy::downstream::open_requests::OpenRequest;
@@ -75,6 +75,7 @@
     ) -> Result<ClientResponse, LocalResponse> {
         let socket = connection.socket();
         let accepted = self.accept(request).await?;
+        connection.request_received();
         let mut closed = pin!(socket.peer_closed());
         // A client may have closed its connection before it was accepted; its request is not sent to a
         // server.
--- a/crates/quillpulley/src/proxy/downstream/readiness.rs
+++ b/crates/quillpulley/src/proxy/downstream/readiness.rs
@@ -22,9 +22,12 @@
     linger: Linger { time: Duration::ZERO, bytes: 0 },
     idle_grace: Duration::from_millis(100),
     first_request_grace: Duration::from_millis(100),
+    receive_grace: Some(Duration::from_secs(1)),
     write_stall_timeout: Duration::from_secs(10),
     write_stall_grace: Duration::from_secs(1),
     accept_retry_delay: Duration::from_millis(100),
+    plain_heads: false,
+    half_close: false,
 };
 
 /// Responds to readiness checks: 200 if this proxy is ready for clients, else 503.
--- a/crates/quillpulley/src/proxy/downstream/request_body.rs
+++ b/crates/quillpulley/src/proxy/downstream/request_body.rs
@@ -1,6 +1,6 @@
 //! Reads the body of a client's request, within the size limit and the memory budget.
 
-use crate::proxy::admission::buffer_budget::BufferReservation;
+use crate::buffer_budget::BufferReservation;
 use crate::proxy::downstream::local_response::LocalResponse;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
--- a/crates/quillpulley/src/proxy/process.rs
+++ b/crates/quillpulley/src/proxy/process.rs
@@ -1,7 +1,7 @@
 //! Runs the proxy process: starts its tasks, and drains it on shutdown.
 
+use crate::buffer_budget::BufferBudget;
 use crate::peer::bind;
-use crate::proxy::admission::buffer_budget::BufferBudget;
 use crate::proxy::downstream::client_service::{ClientService, RECORDED_BYTES};
 use crate::proxy::downstream::readiness::{self, ReadinessService};
 use crate::proxy::faults::Experiment;
@@ -47,6 +47,8 @@
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time after which a client that reads nothing of its response may be closed to free a connection or memory.
 const WRITE_STALL_GRACE: Duration = Duration::from_secs(5);
+/// Time after which a client that has not sent its whole request may be closed to free a connection.
+const RECEIVE_GRACE: Duration = Duration::from_secs(5);
 /// Interval at which idle and slow connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -214,9 +216,12 @@
         linger: Linger { time: Duration::from_millis(500), bytes: 256 * 1024 },
         idle_grace: Duration::from_millis(100),
         first_request_grace: Duration::from_millis(1_000),
+        receive_grace: Some(RECEIVE_GRACE),
         write_stall_timeout: WRITE_STALL_TIMEOUT,
         write_stall_grace: WRITE_STALL_GRACE,
         accept_retry_delay: Duration::from_millis(20),
+        plain_heads: false,
+        half_close: false,
     }
 }
 
--- a/crates/quillpulley/src/proxy/state.rs
+++ b/crates/quillpulley/src/proxy/state.rs
@@ -1,6 +1,6 @@
 //! The state that all requests of a proxy share, and the changes that affect more than one part of it.
 
-use crate::proxy::admission::buffer_budget::BufferBudget;
+use crate::buffer_budget::BufferBudget;
 use crate::proxy::admission::Admission;
 use crate::proxy::config::active_config::{ActiveConfig, ActiveConfigCell};
 use crate::proxy::downstream::home_demand::HomeDemandCell;
--- a/crates/quillpulley/src/proxy/streaming/event_stream.rs
+++ b/crates/quillpulley/src/proxy/streaming/event_stream.rs
@@ -5,7 +5,7 @@
 //! does until its write buffer is full. If the stream is dropped before its end, because the client has
 //! closed its connection, the connection to the server is closed.
 
-use crate::proxy::admission::buffer_budget::BufferReservation;
+use crate::buffer_budget::BufferReservation;
 use crate::proxy::downstream::request::RequestContext;
 use crate::proxy::retry::forwarding::{ForwardError, Forwarding, StreamingResponse, UpstreamResponse};
 use crate::proxy::streaming::event_splitter::{EventSplitter, Position};
--- a/crates/quillpulley/src/proxy/upstream/upstream_request.rs
+++ b/crates/quillpulley/src/proxy/upstream/upstream_request.rs
@@ -3,7 +3,7 @@
 
 use super::connection_pool::{AbortGuard, UpstreamPeer};
 use super::upstreams::Upstreams;
-use crate::proxy::admission::buffer_budget::BufferReservation;
+use crate::buffer_budget::BufferReservation;
 use crate::proxy::downstream::request::RequestContext;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
--- a/crates/quillpulley/src/proxy/upstream/upstreams.rs
+++ b/crates/quillpulley/src/proxy/upstream/upstreams.rs
@@ -6,7 +6,7 @@
 
 use super::connection_pool::{ConnectionPool, UpstreamPeer};
 use super::recent_failures::RecentFailures;
-use crate::proxy::admission::buffer_budget::BufferBudget;
+use crate::buffer_budget::BufferBudget;
 use quillpulley_load_balancer::{
     Balancer, Choice, Demand, FailureKind, HealthCheckResult, Outcome, ProxyPeer, ServerKey, Ticket,
 };
--- a/crates/quillpulley/tests/proxy_buffer_budget.rs
+++ b/crates/quillpulley/tests/buffer_budget.rs
@@ -1,6 +1,6 @@
 //! Tests of the memory budget for bodies: who waits, who is rejected, and when the shortage handler is called.
 
-use quillpulley::proxy::admission::buffer_budget::{BufferBudget, BufferReservation, OutOfMemory};
+use quillpulley::buffer_budget::{BufferBudget, BufferReservation, OutOfMemory};
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::pin::pin;
--- a/crates/rate-limiter/src/bin/rate-limiter/clients/mod.rs
+++ b/crates/rate-limiter/src/bin/rate-limiter/clients/mod.rs
@@ -276,8 +276,11 @@
         linger: LINGER,
         idle_grace: IDLE_GRACE,
         first_request_grace: FIRST_REQUEST_GRACE,
+        receive_grace: None,
         write_stall_timeout: WRITE_STALL_TIMEOUT,
         write_stall_grace: WRITE_STALL_GRACE,
         accept_retry_delay: ACCEPT_RETRY_DELAY,
+        plain_heads: false,
+        half_close: false,
     }
 }
