--- a/crates/quillpulley/src/control/api/mod.rs
+++ b/crates/quillpulley/src/control/api/mod.rs
@@ -187,6 +187,7 @@
         let responder = Responder { response: sender };
         let request = Box::new(ApiRequest { operation, received_at, responder });
         if (self.deliver)(request).is_err() {
+            log::info!("the caller is asked to retry: too many requests wait for the main thread");
             return Response::Unavailable;
         }
         tokio::select! {
@@ -198,9 +199,13 @@
 
     /// Returns a response if it is still valid.
     fn checked(&self, response: TimedResponse) -> Response {
-        match self.faults.skip_lease_check() {
-            true => response.unchecked().clone(),
-            false => response.checked_by(&self.clock),
+        if self.faults.skip_lease_check() {
+            return response.unchecked().clone();
         }
+        let checked = response.clone().checked_by(&self.clock);
+        if checked != *response.unchecked() {
+            log::info!("the caller is asked to retry: the lease of its response has ended");
+        }
+        checked
     }
 }
--- a/crates/quillpulley/src/control/replica_host/process.rs
+++ b/crates/quillpulley/src/control/replica_host/process.rs
@@ -33,8 +33,9 @@
 const RESPONSE_WRITE_INTERVAL: Duration = Duration::from_millis(10);
 /// Exit code after a panic.
 const PANIC_EXIT_CODE: i32 = 101;
-/// Maximum number of operator requests that wait for the main thread.
-const REQUEST_QUEUE_CAPACITY: usize = 16;
+/// Maximum number of operator requests that wait for the main thread: one of each connection, so that callers that
+/// come at once do not displace each other.
+const REQUEST_QUEUE_CAPACITY: usize = http::OPTIONS.max_connections;
 
 /// An event that another thread sends to the main thread.
 enum ThreadEvent {
--- a/crates/quillpulley/tests/control/api.rs
+++ b/crates/quillpulley/tests/control/api.rs
@@ -302,3 +302,104 @@
     first_request.responder.send(TimedResponse::without_expiry(Response::Acknowledged));
     assert_eq!(first_client.join().expect("the client thread panicked").status, 200);
 }
+
+/// Guards against bodies that stop halfway and keep all other callers from being heard.
+#[test]
+fn many_stalled_bodies_do_not_delay_others() {
+    let (address, requests) = start_api();
+    let stalled: Vec<TcpStream> = (0..64)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).expect("cannot connect");
+            let head = replace_request_text("1", "").replace("Content-Length: 0", "Content-Length: 2000");
+            stream
+                .write_all(format!("{head}{}", "x".repeat(700)).as_bytes())
+                .expect("cannot send the request");
+            stream
+        })
+        .collect();
+    let client = std::thread::spawn(move || send(address, &request_text("GET", "/v1/Config.Get")));
+    let request = requests.recv_timeout(TIMEOUT).expect("no request");
+    assert_eq!(request.operation, Operation::ReadConfiguration);
+    request.responder.send(TimedResponse::without_expiry(Response::NoConfiguration));
+    assert_eq!(client.join().expect("the client thread panicked").status, 404);
+    drop(stalled);
+}
+
+/// Guards against callers that do not read their answers and keep all other callers from being answered.
+#[test]
+fn unread_responses_do_not_delay_others() {
+    let (address, requests) = start_api();
+    let long = Response::Configuration(vec![b'x'; 16_000_000].into());
+    let unread: Vec<TcpStream> = (0..8)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).expect("cannot connect");
+            stream
+                .write_all(request_text("GET", "/v1/Config.Get").as_bytes())
+                .expect("cannot send the request");
+            let request = requests.recv_timeout(TIMEOUT).expect("no request");
+            request.responder.send(TimedResponse::without_expiry(long.clone()));
+            stream
+        })
+        .collect();
+    let client = std::thread::spawn(move || send(address, &request_text("GET", "/v1/Config.Get")));
+    let request = requests.recv_timeout(TIMEOUT).expect("no request");
+    request.responder.send(TimedResponse::without_expiry(Response::NoConfiguration));
+    assert_eq!(client.join().expect("the client thread panicked").status, 404);
+    drop(unread);
+}
+
+/// Guards against orders that are executed although their callers have closed their connections.
+#[test]
+fn a_caller_that_closes_its_connection_is_noticed_before_its_order_is_decided() {
+    let (address, requests) = start_api();
+    let mut caller = TcpStream::connect(address).expect("cannot connect");
+    caller.write_all(request_text("POST", "/v1/Evacuate.End/a").as_bytes()).expect("cannot send the request");
+    let request = requests.recv_timeout(TIMEOUT).expect("no request");
+    assert!(!request.responder.caller_has_gone());
+    drop(caller);
+    let started = std::time::Instant::now();
+    while !request.responder.caller_has_gone() {
+        assert!(started.elapsed() < TIMEOUT, "the close of the connection is not noticed");
+        std::thread::yield_now();
+    }
+}
+
+/// Guards against callers that end their sending, still read, and get no answer.
+#[test]
+fn a_caller_that_has_ended_its_sending_gets_its_answer() {
+    let (address, requests) = start_api();
+    let mut caller = TcpStream::connect(address).expect("cannot connect");
+    caller.set_read_timeout(Some(TIMEOUT)).expect("cannot set the timeout");
+    caller.write_all(request_text("GET", "/v1/Config.Get").as_bytes()).expect("cannot send the request");
+    caller.shutdown(std::net::Shutdown::Write).expect("cannot shut down the connection");
+    let request = requests.recv_timeout(TIMEOUT).expect("no request");
+    request.responder.send(TimedResponse::without_expiry(Response::NoConfiguration));
+    let mut response = String::new();
+    caller.read_to_string(&mut response).expect("cannot read the response");
+    assert_eq!(parse_response(&response).status, 404);
+}
+
+/// Guards against a process that ends before its answers are written.
+#[test]
+fn a_response_counts_as_unwritten_until_its_last_byte_was_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind the socket");
+    let address = listener.local_addr().expect("no valid address");
+    let (send_request, requests) = mpsc::channel();
+    let deliver =
+        move |request| send_request.send(request).map_err(|rejected: mpsc::SendError<_>| rejected.0);
+    let unwritten = api::serve(listener, Clock::start(), deliver).expect("cannot start the server");
+    let mut caller = TcpStream::connect(address).expect("cannot connect");
+    caller.write_all(request_text("GET", "/v1/Config.Get").as_bytes()).expect("cannot send the request");
+    let request = requests.recv_timeout(TIMEOUT).expect("no request");
+    let long = Response::Configuration(vec![b'x'; 16_000_000].into());
+    request.responder.send(TimedResponse::without_expiry(long));
+    let mut first = [0];
+    caller.read_exact(&mut first).expect("cannot read the response");
+    assert!(!unwritten.is_empty());
+    caller.read_to_end(&mut Vec::new()).expect("cannot read the response");
+    let started = std::time::Instant::now();
+    while !unwritten.is_empty() {
+        assert!(started.elapsed() < TIMEOUT, "the response counts as unwritten for ever");
+        std::thread::yield_now();
+    }
+}
--- a/crates/quillpulley/tests/control/commands.rs
+++ b/crates/quillpulley/tests/control/commands.rs
@@ -5,7 +5,8 @@
 //!
 //! - Commands: `BASE>VERSION` replaces the configuration; a letter after the version distinguishes
 //!   configurations of the same version. `+ZONE` starts an evacuation and `-ZONE` ends it. `20@+ZONE` was
-//!   received at 20 ms, but is queued only at the time of the line.
+//!   received at 20 ms, but is queued only at the time of the line. The caller of a command that ends with `!` closes
+//!   its connection before the command is decided.
 //! - Events: `commit N` and `fail N` are the outcomes of proposal N; after `commit N stale`, the lease is no
 //!   longer held. `foreign COMMAND` applies a command that another primary proposed. `deposed` means that
 //!   another node has become the primary.
@@ -20,7 +21,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-#[derive(Default)]
 struct Harness {
     commands: CommandQueue<String>,
     state: ControlState,
@@ -28,7 +28,19 @@
     index: u64,
 }
 
+impl Default for Harness {
+    fn default() -> Self {
+        Harness {
+            commands: CommandQueue::new(|caller| caller.ends_with('!')),
+            state: ControlState::default(),
+            proposed: BTreeMap::new(),
+            index: 0,
+        }
+    }
+}
+
 fn parse_command(text: &str) -> Command {
+    let text = text.trim_end_matches('!');
     if let Some((base, version)) = text.split_once('>') {
         return Command::Replace {
             base: base.parse().expect("the base is not a number"),
@@ -143,6 +155,22 @@
     );
 }
 
+/// Guards against orders that are executed although their callers have left, and undo later ones.
+#[test]
+fn a_command_whose_caller_has_gone_is_not_executed() {
+    run_timeline(
+        "
+           0 | +a              |          | proposed 1
+          10 |                 | commit 1 | +a acknowledged
+          20 | -a! 0>5! +b     |          | proposed 2, -a! unavailable, 0>5! unavailable
+          30 |                 | commit 2 | +b acknowledged
+          40 | +a              |          | +a acknowledged
+          50 | 0>6             |          | proposed 3
+          60 |                 | commit 3 | 0>6 acknowledged
+        ",
+    );
+}
+
 #[test]
 fn a_repeated_command_is_acknowledged_without_a_log_entry() {
     run_timeline(
--- a/crates/quillpulley/tests/soak/client.rs
+++ b/crates/quillpulley/tests/soak/client.rs
@@ -1,7 +1,7 @@
 //! A client that uses its connection for as long as it is open, and reads some of its answers slowly.
 
 use crate::answers::{End, Ended, Kind};
-use crate::server::byte_at;
+use crate::server::body_part;
 use fastrand::Rng;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -136,8 +136,7 @@
         Ok(body) => body,
         Err(received) => return (End::Cut { received }, false),
     };
-    let is_own = body.len() == request.bytes
-        && body.iter().enumerate().all(|(position, byte)| *byte == byte_at(&request.id, position));
+    let is_own = body == body_part(&request.id, 0, request.bytes);
     let end = if status == 200 && !is_own { End::Foreign } else { End::Complete { status } };
     (end, keeps_open)
 }
--- a/crates/quillpulley/tests/soak/server.rs
+++ b/crates/quillpulley/tests/soak/server.rs
@@ -72,13 +72,11 @@
     }
 }
 
-/// Returns the byte at a position of the answer to a request: its id, again and again.
-pub fn byte_at(id: &str, position: usize) -> u8 {
-    id.as_bytes()[position % id.len()]
-}
-
-fn body_part(id: &str, start: usize, length: usize) -> Vec<u8> {
-    (start..start + length).map(|position| byte_at(id, position)).collect()
+/// Returns a part of the answer to a request, which is its id, again and again.
+pub fn body_part(id: &str, start: usize, length: usize) -> Vec<u8> {
+    let offset = start % id.len();
+    let repeated = id.as_bytes().repeat((offset + length) / id.len() + 1);
+    repeated[offset..offset + length].to_vec()
 }
 
 /// Serves a connection until it ends.
--- a/crates/quillpulley/tests/system/machines.rs
+++ b/crates/quillpulley/tests/system/machines.rs
@@ -60,6 +60,11 @@
         CONTROL_NODES.map(|number| self.address(0, number, 17)).collect()
     }
 
+    /// Returns the addresses on which control nodes accept connections from other processes of the system.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        CONTROL_NODES.map(|number| self.address(0, number, 0)).collect()
+    }
+
     /// Writes the settings file of a control node. Returns its path.
     pub fn control_node_settings(&self, number: u8) -> PathBuf {
         let disk = self.folder.join(format!("disk-{number}"));
--- a/crates/quillpulley/tests/system/main.rs
+++ b/crates/quillpulley/tests/system/main.rs
@@ -2,8 +2,10 @@
 //! servers are simulated, and the test acts as the operator and the client. Each machine has its own address.
 
 mod http;
+#[allow(dead_code)] // `tests/stalled_callers` uses the rest.
 mod machines;
 mod platform;
+#[allow(dead_code)] // `tests/stalled_callers` uses the rest.
 mod processes;
 mod server;
 
--- a/crates/quillpulley/tests/system/processes.rs
+++ b/crates/quillpulley/tests/system/processes.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with SIGKILL.
     pub fn kill(&mut self) {
         // Killing fails if the process has already exited.
@@ -71,7 +76,7 @@
 
     /// Sends a signal, which is named without `SIG`, to the process.
     pub fn signal(&self, name: &str) {
-        let kill = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        let kill = Command::new("kill").args([&format!("-{name}"), &self.id().to_string()]).status();
         assert!(kill.expect("kill starts").success());
     }
 
