--- a/crates/http1-client/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,14 +6,10 @@
 //! - [`Socket`]: the socket of an outgoing or incoming connection, with its [`WriteProgress`].
 #![forbid(unsafe_code)]
 
-mod client_connection;
-mod connection_manager;
-mod connection_phase;
-mod server_connection;
+mod client;
+mod server;
 mod socket;
-mod write_timer;
 
-pub use client_connection::{ClientConnection, ConnectionLimits, ResponseError};
-pub use connection_manager::{ConnectionManager, ConnectionOptions, Linger};
-pub use server_connection::{ServerConnection, Service};
+pub use client::{ClientConnection, ConnectionLimits, ResponseError};
+pub use server::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
 pub use socket::{Socket, SocketIo, WriteProgress};
--- a/crates/http1-client/src/server_connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -1,9 +1,9 @@
 //! An incoming connection, which serves requests until it closes.
 
-use crate::connection_manager::{ConnectionOptions, Linger};
-use crate::connection_phase::{Event, Phase};
+use super::options::{ConnectionOptions, Linger};
+use super::phase::{Event, Phase};
+use super::write_timer::WriteTimer;
 use crate::socket::{Socket, SocketIo};
-use crate::write_timer::WriteTimer;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::CONNECTION;
--- a/crates/http1-client/tests/client_connection/responses.rs
+++ b/crates/http1/tests/client/responses.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
-use quillpulley_http1_client::{ClientConnection, ConnectionLimits, ResponseError, WriteProgress};
+use quillpulley_http1::{ClientConnection, ConnectionLimits, ResponseError, WriteProgress};
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
--- a/crates/http1-client/tests/server_connection/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -4,7 +4,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{Request, Response};
-use quillpulley_http1_client::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
+use quillpulley_http1::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
--- a/crates/http1-client/tests/server_connection/unwritten_responses.rs
+++ b/crates/http1/tests/server/unwritten_responses.rs
@@ -1,7 +1,7 @@
 //! A connection is busy until the last byte of its response was written, and for a bounded time.
 
 use crate::support::{patient_options, run, Listener, LARGE_BODY_BYTES, STREAM_PATH, TEST_TIMEOUT};
-use quillpulley_http1_client::ConnectionOptions;
+use quillpulley_http1::ConnectionOptions;
 use std::time::Duration;
 use tokio::task::{spawn_local, yield_now};
 
--- a/crates/quillpulley/src/control/api/mod.rs
+++ b/crates/quillpulley/src/control/api/mod.rs
@@ -17,7 +17,7 @@
 use crate::HostError;
 use hyper::body::Incoming;
 use hyper::Request;
-use quillpulley_http1_client::{ServerConnection, Socket};
+use quillpulley_http1::{ServerConnection, Socket};
 use request::ReceivedOperation;
 use std::future::{pending, poll_fn, Future};
 use std::net::TcpListener;
--- a/crates/quillpulley/src/control/directory/server.rs
+++ b/crates/quillpulley/src/control/directory/server.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::{Method, Request, StatusCode};
-use quillpulley_http1_client::ServerConnection;
+use quillpulley_http1::ServerConnection;
 use quillpulley_replication::Locality;
 use simd_json::prelude::Writable;
 use std::net::TcpListener;
--- a/crates/quillpulley/src/control/http/mod.rs
+++ b/crates/quillpulley/src/control/http/mod.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use quillpulley_http1_client::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
+use quillpulley_http1::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
 use socket2::{SockRef, TcpKeepalive};
 use std::future::Future;
 use std::io;
--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -18,7 +18,7 @@
 use crate::proxy::upstream::upstream_request::BufferedBody;
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
-use quillpulley_http1_client::{ServerConnection, Service};
+use quillpulley_http1::{ServerConnection, Service};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::pin;
--- a/crates/quillpulley/src/proxy/downstream/readiness.rs
+++ b/crates/quillpulley/src/proxy/downstream/readiness.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use quillpulley_http1_client::{ConnectionOptions, Linger, ServerConnection, Service};
+use quillpulley_http1::{ConnectionOptions, Linger, ServerConnection, Service};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,9 +13,9 @@
 
 const PATH: &str = "/v1/ready";
 
-/// Limits of the connections for readiness checks. They are low, as checks are rare.
+/// Limits of the connections for readiness checks. Checks are rare, but callers that stall must not hold them up.
 pub const OPTIONS: ConnectionOptions = ConnectionOptions {
-    max_connections: 16,
+    max_connections: 128,
     max_header_bytes: 8 * 1024,
     recorded_bytes: 1,
     header_timeout: Some(Duration::from_secs(10)),
@@ -25,7 +25,7 @@
     receive_grace: Some(Duration::from_secs(1)),
     write_stall_timeout: Duration::from_secs(10),
     write_stall_grace: Duration::from_secs(1),
-    accept_retry_delay: Duration::from_millis(100),
+    accept_retry_delay: Duration::from_millis(20),
     plain_heads: false,
     half_close: false,
 };
--- a/crates/quillpulley/src/proxy/process.rs
+++ b/crates/quillpulley/src/proxy/process.rs
@@ -13,7 +13,7 @@
 use crate::runtime::block_on;
 use crate::signals::{self, ProcessSignal};
 use crate::{HostError, Settings};
-use quillpulley_http1_client::{ConnectionManager, ConnectionOptions, Linger};
+use quillpulley_http1::{ConnectionManager, ConnectionOptions, Linger};
 use quillpulley_load_balancer::{Ablation, Balancer, Locality, Options, QueueLimits};
 use quillpulley_retry_budget::{Options as BudgetOptions, RetryBudgets};
 use quillpulley_serving_config::Limits;
--- a/crates/quillpulley/src/proxy/retry/forwarding.rs
+++ b/crates/quillpulley/src/proxy/retry/forwarding.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use quillpulley_http1_client::{Socket, WriteProgress};
+use quillpulley_http1::{Socket, WriteProgress};
 use quillpulley_load_balancer::{queue_time, FailureKind, Outcome, ServerKey};
 use std::future::{poll_fn, Future};
 use std::pin::pin;
--- a/crates/quillpulley/src/proxy/upstream/connection_pool.rs
+++ b/crates/quillpulley/src/proxy/upstream/connection_pool.rs
@@ -1,6 +1,6 @@
 //! The pool of idle connections to servers, which also establishes new connections.
 
-use quillpulley_http1_client::{ClientConnection, ConnectionLimits, Socket};
+use quillpulley_http1::{ClientConnection, ConnectionLimits, Socket};
 use quillpulley_load_balancer::ServerKey;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/quillpulley/src/proxy/upstream/upstream_request.rs
+++ b/crates/quillpulley/src/proxy/upstream/upstream_request.rs
@@ -7,7 +7,7 @@
 use crate::proxy::downstream::request::RequestContext;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
-use quillpulley_http1_client::{ClientConnection, ResponseError};
+use quillpulley_http1::{ClientConnection, ResponseError};
 use quillpulley_load_balancer::{Outcome, Ticket};
 use std::future::poll_fn;
 use std::rc::Rc;
--- a/crates/rate-limiter/src/bin/rate-limiter/clients/mod.rs
+++ b/crates/rate-limiter/src/bin/rate-limiter/clients/mod.rs
@@ -18,9 +18,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
 use log::warn;
-use quillpulley_http1_client::{
-    ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service, Socket,
-};
+use quillpulley_http1::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service, Socket};
 use rate_limiter::Settings;
 use request_error::RequestError;
 use request_head::{RequestHead, RETRY_MARK};
--- a/crates/rate-limiter/src/bin/rate-limiter/counter.rs
+++ b/crates/rate-limiter/src/bin/rate-limiter/counter.rs
@@ -7,7 +7,7 @@
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode};
 use log::warn;
-use quillpulley_http1_client::{ClientConnection, ResponseError};
+use quillpulley_http1::{ClientConnection, ResponseError};
 use rate_limiter::{Outcome, Settings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/crates/rate-limiter/src/bin/rate-limiter/discovery/mod.rs
+++ b/crates/rate-limiter/src/bin/rate-limiter/discovery/mod.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response, StatusCode};
 use log::{info, warn};
 use message_decoder::{DecodeError, MessageDecoder};
-use quillpulley_http1_client::ClientConnection;
+use quillpulley_http1::ClientConnection;
 use rate_limiter::Settings;
 use std::cell::Cell;
 use std::convert::Infallible;
--- a/crates/rate-limiter/src/bin/rate-limiter/upstream/attempt.rs
+++ b/crates/rate-limiter/src/bin/rate-limiter/upstream/attempt.rs
@@ -4,7 +4,7 @@
 use crate::host::Host;
 use bytes::Bytes;
 use hyper::Response;
-use quillpulley_http1_client::{ClientConnection, ResponseError, Socket, WriteProgress};
+use quillpulley_http1::{ClientConnection, ResponseError, Socket, WriteProgress};
 use rate_limiter::{LoadReport, Outcome, RequestId, ServerId};
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/rate-limiter/src/bin/rate-limiter/upstream/connection_limits.rs
+++ b/crates/rate-limiter/src/bin/rate-limiter/upstream/connection_limits.rs
@@ -1,6 +1,6 @@
 //! Limits of message bodies and outgoing connections.
 
-use quillpulley_http1_client::ConnectionLimits;
+use quillpulley_http1::ConnectionLimits;
 use std::time::Duration;
 
 /// Maximum bytes of a request or response body.
--- a/crates/rate-limiter/src/bin/rate-limiter/upstream/mod.rs
+++ b/crates/rate-limiter/src/bin/rate-limiter/upstream/mod.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, Response};
-use quillpulley_http1_client::ClientConnection;
+use quillpulley_http1::ClientConnection;
 use rate_limiter::{LoadReport, Outcome, ServerId, ServerState, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
