--- a/crates/quillpulley/tests/stalled_callers/callers.rs
+++ b/crates/quillpulley/tests/stalled_callers/callers.rs
@@ -93,6 +93,8 @@
     HeadByteWise,
     /// Stops within a body.
     PartialBody,
+    /// Stops within a long body, of which much has arrived. Only measured.
+    LongPartialBody,
     /// Sends a body that is longer than announced, and goes on.
     LongerBody,
     /// Resets the connection within a request.
@@ -185,6 +187,7 @@
             let length = random.usize(1..2_000);
             listener.head_with_body(number, 2_000) + &"x".repeat(length)
         }
+        Behaviour::LongPartialBody => listener.head_with_body(number, 4_000_000) + &"x".repeat(200_000),
         Behaviour::LongerBody => listener.head_with_body(number, 10) + &"x".repeat(random.usize(11..50_000)),
         Behaviour::Reset => {
             let text = listener.head_with_body(number, 20) + &"x".repeat(20);
--- a/crates/quillpulley/tests/stalled_callers/system.rs
+++ b/crates/quillpulley/tests/stalled_callers/system.rs
@@ -24,7 +24,7 @@
     pub machines: Machines,
     pub proxy: Process,
     _agent: Process,
-    _control_nodes: Vec<Process>,
+    pub control_nodes: Vec<Process>,
     _platform: Platform,
     requests: u64,
 }
@@ -40,14 +40,8 @@
         let settings = machines.proxy_settings();
         let agent = Process::start("agent", &settings);
         let proxy = Process::start("proxy", &settings);
-        let mut system = System {
-            machines,
-            proxy,
-            _agent: agent,
-            _control_nodes: control_nodes,
-            _platform: platform,
-            requests: 0,
-        };
+        let mut system =
+            System { machines, proxy, _agent: agent, control_nodes, _platform: platform, requests: 0 };
         system.configure();
         system.until_served();
         system
