A shortage of memory lets go only of complete answers that are not read

Found by reading. The connection's phase tells the two apart. only_complete_responses_are_closed_for_what_they_hold guards it.

--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -191,6 +191,11 @@
         self.phase.get().idle_since().is_some_and(|since| since.elapsed() > idle_grace)
     }
 
+    /// Returns whether a response is complete, and some of its bytes wait for the client to read.
+    pub(crate) fn is_writing(&self) -> bool {
+        self.phase.get() == Phase::Writing
+    }
+
     /// Returns since when a request is being received; `None` if none is.
     pub(crate) fn receiving_since(&self) -> Option<Instant> {
         self.phase.get().receiving_since()
--- a/crates/http1/src/server/manager.rs
+++ b/crates/http1/src/server/manager.rs
@@ -114,12 +114,19 @@
         self.connections.borrow().len()
     }
 
-    /// Closes the connection whose client has read nothing of its response for the longest time, at least
-    /// for [`ConnectionOptions::write_stall_grace`]. Returns whether there is one.
-    pub fn close_most_stalled(&self) -> bool {
+    /// Closes the connection whose client has read nothing of a complete response for the longest time, at least
+    /// for [`ConnectionOptions::write_stall_grace`]. Frees what the response holds. Returns whether there is one.
+    pub fn close_most_stalled_response(&self) -> bool {
+        self.close_most_stalled(ServerConnection::is_writing)
+    }
+
+    /// Closes the connection whose client has read nothing for the longest time, among those that `may_close`.
+    /// Returns whether there is one.
+    fn close_most_stalled(&self, may_close: impl Fn(&ServerConnection) -> bool) -> bool {
         let grace = self.options.get().write_stall_grace;
         let connections = self.connections.borrow();
-        let stalled = connections.values().filter_map(|each| Some((each.stalled_since()?, each)));
+        let closable = connections.values().filter(|each| may_close(each));
+        let stalled = closable.filter_map(|each| Some((each.stalled_since()?, each)));
         let stalled = stalled.filter(|(since, _)| since.elapsed() > grace);
         let Some((_, connection)) = stalled.min_by_key(|(since, _)| *since) else { return false };
         connection.close_now();
@@ -129,7 +136,7 @@
     /// Makes room for a connection: asks the connection that should be closed first to close. If all are busy,
     /// closes one whose client does not read its response, or has not sent its request.
     fn make_room(&self) {
-        let _ = self.close_most_idle() || self.close_most_stalled() || self.close_slowest_request();
+        let _ = self.close_most_idle() || self.close_most_stalled(|_| true) || self.close_slowest_request();
     }
 
     /// Closes the connection whose request has been arriving for longest, at least for
--- a/crates/http1/src/server/options.rs
+++ b/crates/http1/src/server/options.rs
@@ -43,7 +43,7 @@
     /// is closed then.
     pub write_stall_timeout: Duration,
     /// The minimum time for which a client must have read nothing of a response before its connection is
-    /// closed to make room for a new one, or by [`ConnectionManager::close_most_stalled`](super::ConnectionManager::close_most_stalled).
+    /// closed to make room for a new one, or by [`ConnectionManager::close_most_stalled_response`](super::ConnectionManager::close_most_stalled_response).
     pub write_stall_grace: Duration,
     /// The delay before accepting is retried after a failure, which most likely means that there are no free
     /// file descriptors, or when all connections are busy.
--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -27,6 +27,8 @@
 pub const LARGE_BODY_BYTES: usize = 24 * 1024 * 1024;
 /// The path of a stream that ends when its client has stopped reading.
 pub const STREAM_PATH: &str = "/stream";
+/// The path of a stream that never ends.
+pub const ENDLESS_PATH: &str = "/endless";
 /// Length of a chunk of a stream, in bytes.
 const STREAM_CHUNK_BYTES: usize = 8 * 1024;
 /// Size of the receive buffer of clients, in bytes.
@@ -124,20 +126,21 @@
     }
 }
 
-/// A streamed body that ends when its client has stopped reading. Each chunk is written before the next one.
-struct EndlessUntilBlocked {
+/// A streamed body that ends when its client has stopped reading, or never. Each chunk is written before the next one.
+struct Stream {
     connection: Rc<ServerConnection>,
     ended: Rc<Notify>,
     yields: bool,
+    is_endless: bool,
 }
 
-impl Drop for EndlessUntilBlocked {
+impl Drop for Stream {
     fn drop(&mut self) {
         self.ended.notify_one();
     }
 }
 
-impl Body for EndlessUntilBlocked {
+impl Body for Stream {
     type Data = Bytes;
     type Error = Infallible;
 
@@ -150,14 +153,13 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let is_blocked = self.connection.socket().write_blocked_since().is_some();
+        let is_blocked = !self.is_endless && self.connection.socket().write_blocked_since().is_some();
         let chunk = Frame::data(Bytes::from(vec![b'x'; STREAM_CHUNK_BYTES]));
         Poll::Ready((!is_blocked).then_some(Ok(chunk)))
     }
 }
 
-/// Responds to `GET /N` with N bytes, and to [`STREAM_PATH`] with a stream that ends when its client has stopped
-/// reading.
+/// Responds to `GET /N` with N bytes, and to [`STREAM_PATH`] and [`ENDLESS_PATH`] with a stream.
 struct ByteService {
     held: Rc<Held>,
     write_time: Option<Duration>,
@@ -177,12 +179,11 @@
         if let Some(time) = self.write_time {
             connection.set_write_deadline(Instant::now() + time);
         }
-        if request.uri().path() == STREAM_PATH {
-            return Response::new(LocalBody::new(EndlessUntilBlocked {
-                connection,
-                ended: self.stream_ended.clone(),
-                yields: false,
-            }));
+        let path = request.uri().path();
+        if path == STREAM_PATH || path == ENDLESS_PATH {
+            let ended = self.stream_ended.clone();
+            let is_endless = path == ENDLESS_PATH;
+            return Response::new(LocalBody::new(Stream { connection, ended, yields: false, is_endless }));
         }
         let length = request.uri().path()[1..].parse().expect("a length");
         Response::new(LocalBody::new(Full::new(Bytes::from(vec![b'x'; length]))))
@@ -258,7 +259,7 @@
         }
     }
 
-    /// Reads the body of a response, and returns how many of `length` bytes came before its end.
+    /// Reads at least `length` bytes of the body of a response, and returns how many bytes came; fewer if it ended.
     pub async fn read_body(&mut self, length: usize) -> usize {
         let mut buffer = vec![0; 256 * 1024];
         let mut received = 0;
--- a/crates/http1/tests/server/unwritten_responses.rs
+++ b/crates/http1/tests/server/unwritten_responses.rs
@@ -1,6 +1,8 @@
 //! A connection is busy until the last byte of its response was written, and for a bounded time.
 
-use crate::support::{patient_options, run, Listener, LARGE_BODY_BYTES, STREAM_PATH, TEST_TIMEOUT};
+use crate::support::{
+    patient_options, run, Listener, ENDLESS_PATH, LARGE_BODY_BYTES, STREAM_PATH, TEST_TIMEOUT,
+};
 use quillpulley_http1::ConnectionOptions;
 use std::time::Duration;
 use tokio::task::{spawn_local, yield_now};
@@ -145,6 +147,25 @@
     });
 }
 
+/// Guards against a shortage of memory that ends streams, which hold none.
+#[test]
+fn only_complete_responses_are_closed_for_what_they_hold() {
+    run(async {
+        let options = ConnectionOptions { write_stall_grace: Duration::ZERO, ..patient_options() };
+        let listener = Listener::start(options).await;
+        let mut streaming = listener.connect().await;
+        streaming.send(&format!("GET {ENDLESS_PATH} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
+        streaming.read_head().await;
+        assert!(!listener.manager.close_most_stalled_response());
+        let mut complete = listener.connect().await;
+        complete.request(LARGE_BODY_BYTES).await;
+        complete.read_head().await;
+        assert!(listener.manager.close_most_stalled_response());
+        assert!(complete.read_body(LARGE_BODY_BYTES).await < LARGE_BODY_BYTES);
+        assert!(streaming.read_body(LARGE_BODY_BYTES).await >= LARGE_BODY_BYTES);
+    });
+}
+
 /// Guards against clients that stop reading and keep all others from connecting.
 #[test]
 fn a_stalled_connection_makes_room_for_a_new_one() {
--- a/crates/quillpulley/src/proxy/process.rs
+++ b/crates/quillpulley/src/proxy/process.rs
@@ -138,7 +138,7 @@
         let clients =
             ConnectionManager::new(client_options(max_client_connections.max(1), &Limits::default()));
         let manager = clients.clone();
-        buffers.set_shortage_handler(move || manager.close_most_stalled());
+        buffers.set_shortage_handler(move || manager.close_most_stalled_response());
         let state = ProxyState::new(Components {
             region: settings.region.clone(),
             balancer: balancer(settings, experiment.ablation),
