What a client sends beyond its request no longer cuts its answer

What callers saw: a client that asked for the connection to be closed and had sent more than its request lost the end of its answer: up to 4 MB that the kernel still held.

Cause: the connection was dropped as soon as the answer had been handed to the kernel; with unread input the kernel resets it. Only connections that the proxy itself had decided to close discarded the input first.

--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -282,7 +282,8 @@
 
     fn serve_end(&self, progress: Progress) -> ServeEnd {
         let lingers = match progress {
-            Progress::Ended(Ok(())) => self.closing.get(),
+            // Closing a connection with unread input resets it, and the client might lose the response.
+            Progress::Ended(Ok(())) => self.closing.get() || !self.socket.is_open_and_empty(),
             // An error is caused by the client: it closed the connection, was too slow, or sent invalid
             // HTTP, to which hyper has responded.
             Progress::Ended(Err(error)) => error.is_parse(),
--- a/crates/http1/tests/server/unwritten_responses.rs
+++ b/crates/http1/tests/server/unwritten_responses.rs
@@ -3,7 +3,7 @@
 use crate::support::{
     patient_options, run, Listener, ENDLESS_PATH, LARGE_BODY_BYTES, STREAM_PATH, TEST_TIMEOUT,
 };
-use quillpulley_http1::ConnectionOptions;
+use quillpulley_http1::{ConnectionOptions, Linger};
 use std::time::Duration;
 use tokio::task::{spawn_local, yield_now};
 
@@ -105,6 +105,20 @@
     });
 }
 
+/// Guards against answers whose end is lost because the connection is closed, and so reset, with unread input.
+#[test]
+fn what_a_client_sends_beyond_its_request_does_not_cut_its_response() {
+    run(async {
+        let linger = Linger { time: TEST_TIMEOUT, bytes: 1024 * 1024 };
+        let listener = Listener::start(ConnectionOptions { linger, ..patient_options() }).await;
+        let mut client = listener.connect().await;
+        let request = format!("GET /{LARGE_BODY_BYTES} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        client.send(&(request + &"x".repeat(200_000))).await;
+        client.read_head().await;
+        assert_eq!(client.read_body(LARGE_BODY_BYTES).await, LARGE_BODY_BYTES);
+    });
+}
+
 /// Guards against clients that stop reading and hold a connection and its memory for ever.
 #[test]
 fn a_client_that_stops_reading_is_closed_after_the_stall_timeout() {
