The caller of an order is looked for at the moment of deciding

Cause: the end of the connection was looked for when the order had been read, and later only by the thread of the API, which may not run before the main thread decides. The end arrived in between.

Mend: an order waits for 20 ms, in which an end right behind it arrives, and the main thread asks the kernel when it decides.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use client::{ClientConnection, ConnectionLimits, ResponseError};
 pub use server::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
-pub use socket::{Socket, SocketIo, WriteProgress};
+pub use socket::{PeerWatch, Socket, SocketIo, WriteProgress};
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -159,6 +159,14 @@
         SockRef::from(self.stream()).set_tcp_user_timeout(Some(time))
     }
 
+    /// Returns a handle that tells other threads whether the peer has closed the connection.
+    ///
+    /// # Errors
+    /// Returns the error of the system if there is no file descriptor for it.
+    pub fn peer_watch(&self) -> io::Result<PeerWatch> {
+        Ok(PeerWatch(SockRef::from(self.stream()).try_clone()?))
+    }
+
     /// Returns whether the connection is open and has no unread input. This asks the kernel, because the
     /// runtime may not have been notified yet.
     pub fn is_open_and_empty(&self) -> bool {
@@ -168,6 +176,21 @@
     }
 }
 
+/// Tells whether the peer of a connection has closed it or its sending side. Any thread may ask.
+pub struct PeerWatch(socket2::Socket);
+
+impl PeerWatch {
+    /// Returns whether the peer has closed the connection or its sending side. This asks the kernel, as the runtime
+    /// may not have been notified yet. With unread input it returns false.
+    pub fn has_closed(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match self.0.peek(&mut byte) {
+            Ok(read) => read == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
 impl Drop for Socket {
     /// Closes both directions at once. Dropping the half for writing would first shut down that direction in
     /// an orderly way.
--- a/crates/quillpulley/src/control/api/mod.rs
+++ b/crates/quillpulley/src/control/api/mod.rs
@@ -17,20 +17,23 @@
 use crate::HostError;
 use hyper::body::Incoming;
 use hyper::Request;
-use quillpulley_http1::{ServerConnection, Socket};
+use quillpulley_http1::{PeerWatch, ServerConnection, Socket};
 use request::ReceivedOperation;
-use std::future::{pending, poll_fn, Future};
+use std::future::pending;
 use std::net::TcpListener;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 /// Maximum memory of the bodies that are being read, or wait for the main thread, in bytes.
 const BODY_MEMORY_BYTES: usize = 32 * 1024 * 1024;
+/// Time for which a command waits before it is passed on. If its caller had closed the connection when the command
+/// was still on its way, the end of the connection follows within this time.
+const COMMAND_SETTLE_TIME: Duration = Duration::from_millis(20);
 
 /// A request from an operator, with the handle through which it is answered.
 pub struct ApiRequest {
@@ -45,6 +48,8 @@
 /// Sends the response to one request. If it is dropped unused, the caller is asked to retry.
 pub struct Responder {
     response: oneshot::Sender<TimedResponse>,
+    /// Watches the caller of a command.
+    caller: Option<PeerWatch>,
 }
 
 impl Responder {
@@ -56,9 +61,9 @@
         }
     }
 
-    /// Returns whether the caller has closed its connection.
+    /// Returns whether the caller of a command has closed its connection by now.
     pub fn caller_has_gone(&self) -> bool {
-        self.response.is_closed()
+        self.response.is_closed() || self.caller.as_ref().is_some_and(PeerWatch::has_closed)
     }
 }
 
@@ -179,12 +184,13 @@
                 false => pending().await,
             }
         });
-        // The end of the connection may have arrived right behind the command.
-        if poll_fn(|cx| Poll::Ready(caller_gone.as_mut().poll(cx).is_ready())).await {
+        // The end of the connection may arrive right behind the command.
+        if is_command && timeout(COMMAND_SETTLE_TIME, caller_gone.as_mut()).await.is_ok() {
             return Response::Unavailable;
         }
         let (sender, decided) = oneshot::channel();
-        let responder = Responder { response: sender };
+        let caller = if is_command { socket.peer_watch().ok() } else { None };
+        let responder = Responder { response: sender, caller };
         let request = Box::new(ApiRequest { operation, received_at, responder });
         if (self.deliver)(request).is_err() {
             log::info!("the caller is asked to retry: too many requests wait for the main thread");
--- a/crates/quillpulley/tests/control/api.rs
+++ b/crates/quillpulley/tests/control/api.rs
@@ -357,11 +357,27 @@
     let request = requests.recv_timeout(TIMEOUT).expect("no request");
     assert!(!request.responder.caller_has_gone());
     drop(caller);
-    let started = std::time::Instant::now();
-    while !request.responder.caller_has_gone() {
-        assert!(started.elapsed() < TIMEOUT, "the close of the connection is not noticed");
-        std::thread::yield_now();
+    // The main thread asks at the moment of deciding, when the thread of the API may not have noticed yet.
+    assert!(request.responder.caller_has_gone());
+}
+
+/// Guards against late copies of orders, which arrive with the end of their connection right behind them.
+#[test]
+fn an_order_with_the_end_of_its_connection_right_behind_it_is_not_delivered() {
+    let (address, requests) = start_api();
+    for _ in 0..20 {
+        let mut caller = TcpStream::connect(address).expect("cannot connect");
+        caller
+            .write_all(request_text("POST", "/v1/Evacuate.End/a").as_bytes())
+            .expect("cannot send the request");
+        drop(caller);
     }
+    let client = std::thread::spawn(move || send(address, &request_text("POST", "/v1/Evacuate.Start/b")));
+    let request = requests.recv_timeout(TIMEOUT).expect("no request");
+    assert_eq!(request.operation, evacuation("b", true));
+    request.responder.send(TimedResponse::without_expiry(Response::Acknowledged));
+    assert_eq!(client.join().expect("the client thread panicked").status, 200);
+    assert!(requests.try_recv().is_err());
 }
 
 /// Guards against callers that end their sending, still read, and get no answer.
