Tests of incoming connections share the client that has read only a head

Nine tests opened a connection, asked for the large body and read its head with the same three lines.

--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -185,7 +185,7 @@
             let is_endless = path == ENDLESS_PATH;
             return Response::new(LocalBody::new(Stream { connection, ended, yields: false, is_endless }));
         }
-        let length = request.uri().path()[1..].parse().expect("a length");
+        let length = path[1..].parse().expect("a length");
         Response::new(LocalBody::new(Full::new(Bytes::from(vec![b'x'; length]))))
     }
 
@@ -227,6 +227,14 @@
         socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a receive buffer");
         Client { stream: socket.connect(self.address).await.expect("connect") }
     }
+
+    /// Connects a client that has read the head of a response of [`LARGE_BODY_BYTES`], and nothing else.
+    pub async fn connect_with_unread_body(&self) -> Client {
+        let mut client = self.connect().await;
+        client.request(LARGE_BODY_BYTES).await;
+        client.read_head().await;
+        client
+    }
 }
 
 /// A client that reads its responses as the test asks for it.
--- a/crates/http1/tests/server/unwritten_responses.rs
+++ b/crates/http1/tests/server/unwritten_responses.rs
@@ -12,9 +12,7 @@
 fn a_response_that_is_still_being_read_does_not_make_its_connection_idle() {
     run(async {
         let listener = Listener::start(patient_options()).await;
-        let mut client = listener.connect().await;
-        client.request(LARGE_BODY_BYTES).await;
-        client.read_head().await;
+        let mut client = listener.connect_with_unread_body().await;
         listener.manager.close_slow(Duration::ZERO, Duration::ZERO);
         yield_now().await;
         assert_eq!(client.read_body(LARGE_BODY_BYTES).await, LARGE_BODY_BYTES);
@@ -42,9 +40,7 @@
 fn a_response_that_is_still_being_read_is_not_cut_by_the_start_of_the_next_head() {
     run(async {
         let listener = Listener::start(patient_options()).await;
-        let mut client = listener.connect().await;
-        client.request(LARGE_BODY_BYTES).await;
-        client.read_head().await;
+        let mut client = listener.connect_with_unread_body().await;
         client.send("GET /1").await;
         let first_half = client.read_body(LARGE_BODY_BYTES / 2).await;
         for _ in 0..2 {
@@ -60,9 +56,7 @@
 fn a_connection_is_idle_again_once_its_response_was_written() {
     run(async {
         let listener = Listener::start(patient_options()).await;
-        let mut client = listener.connect().await;
-        client.request(LARGE_BODY_BYTES).await;
-        client.read_head().await;
+        let mut client = listener.connect_with_unread_body().await;
         assert_eq!(client.read_body(LARGE_BODY_BYTES).await, LARGE_BODY_BYTES);
         client.request(10).await;
         client.read_head().await;
@@ -77,9 +71,7 @@
 fn a_drain_waits_for_responses_that_are_being_read() {
     run(async {
         let listener = Listener::start(patient_options()).await;
-        let mut client = listener.connect().await;
-        client.request(LARGE_BODY_BYTES).await;
-        client.read_head().await;
+        let mut client = listener.connect_with_unread_body().await;
         listener.manager.drain();
         let manager = listener.manager.clone();
         let drained = spawn_local(async move { manager.all_closed().await });
@@ -95,9 +87,7 @@
 fn what_a_response_holds_is_released_once_it_was_written() {
     run(async {
         let listener = Listener::start(patient_options()).await;
-        let mut client = listener.connect().await;
-        client.request(LARGE_BODY_BYTES).await;
-        client.read_head().await;
+        let mut client = listener.connect_with_unread_body().await;
         yield_now().await;
         assert_eq!(listener.held.count(), 1);
         assert_eq!(client.read_body(LARGE_BODY_BYTES).await, LARGE_BODY_BYTES);
@@ -126,9 +116,7 @@
         let options =
             ConnectionOptions { write_stall_timeout: Duration::from_millis(50), ..patient_options() };
         let listener = Listener::start(options).await;
-        let mut client = listener.connect().await;
-        client.request(LARGE_BODY_BYTES).await;
-        client.read_head().await;
+        let mut client = listener.connect_with_unread_body().await;
         listener.held.all_released().await;
         assert!(client.read_body(LARGE_BODY_BYTES).await < LARGE_BODY_BYTES);
     });
@@ -140,9 +128,7 @@
     run(async {
         let write_time = Some(Duration::from_millis(50));
         let listener = Listener::start_with_write_time(patient_options(), write_time).await;
-        let mut client = listener.connect().await;
-        client.request(LARGE_BODY_BYTES).await;
-        client.read_head().await;
+        let mut client = listener.connect_with_unread_body().await;
         listener.held.all_released().await;
         assert!(client.read_body(LARGE_BODY_BYTES).await < LARGE_BODY_BYTES);
     });
@@ -171,9 +157,7 @@
         streaming.send(&format!("GET {ENDLESS_PATH} HTTP/1.1\r\nHost: x\r\n\r\n")).await;
         streaming.read_head().await;
         assert!(!listener.manager.close_most_stalled_response());
-        let mut complete = listener.connect().await;
-        complete.request(LARGE_BODY_BYTES).await;
-        complete.read_head().await;
+        let mut complete = listener.connect_with_unread_body().await;
         assert!(listener.manager.close_most_stalled_response());
         assert!(complete.read_body(LARGE_BODY_BYTES).await < LARGE_BODY_BYTES);
         assert!(streaming.read_body(LARGE_BODY_BYTES).await >= LARGE_BODY_BYTES);
@@ -192,9 +176,7 @@
             ..patient_options()
         };
         let listener = Listener::start(options).await;
-        let mut stalled = listener.connect().await;
-        stalled.request(LARGE_BODY_BYTES).await;
-        stalled.read_head().await;
+        let mut stalled = listener.connect_with_unread_body().await;
         let mut other = listener.connect().await;
         other.request(10).await;
         other.read_head().await;
