A child that changes its parent is sent the changes that it missed, not whole ranges

Cause: a response to a subscription held all items of each of the 64 ranges whose digest differs. Each response uses the parent's link, on which its other children wait.

Change: a node keeps the revision of the latest change of each key, and since when that is complete. Keys are sent only if they explain every range that differs. Children that lack only changes are served before those that need ranges. The message is the same, so earlier releases read it.

--- a/crates/state-sync/src/lib.rs
+++ b/crates/state-sync/src/lib.rs
@@ -18,6 +18,7 @@
 mod aggregation;
 mod children;
 mod counters;
+mod history;
 mod node;
 mod options;
 pub mod parent_selection;
--- a/crates/state-sync/src/node.rs
+++ b/crates/state-sync/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::aggregate::{Aggregate, Source};
 use crate::children::{ChildState, Children};
+use crate::history::ChangeHistory;
 use crate::options::Options;
 use crate::store::{Change, ChangedKey, Store};
 use crate::subtree::{LocalReport, SubtreeState};
@@ -89,6 +90,7 @@
     pub(crate) role: Role,
     pub(crate) store: Store,
     pub(crate) revision: Revision,
+    pub(crate) history: ChangeHistory,
     /// Whether the digest of the store differs from the one that the latest update gives for its revision.
     pub(crate) digest_mismatch: bool,
     /// When the revision last advanced; `None` if it never has.
@@ -125,6 +127,7 @@
             role: Role::Orphan,
             store: Store::default(),
             revision: Revision::default(),
+            history: ChangeHistory::default(),
             digest_mismatch: false,
             advanced_at: None,
             fresh_since: Duration::ZERO,
--- a/crates/state-sync/src/publishing.rs
+++ b/crates/state-sync/src/publishing.rs
@@ -1,5 +1,6 @@
 //! The root: assigns revisions and publishes changes.
 
+use crate::history::Coverage;
 use crate::node::{Action, Role, SyncNode};
 use crate::store::{frame_item, Change, ChangedKey};
 use quillpulley_protocol::{Item, Revision, Update, UpdateKind};
@@ -15,6 +16,7 @@
         let first = Revision { epoch, tick: 1 };
         let revision = if first > announced { first } else { next_revision(announced) };
         self.role = Role::Root { announced };
+        self.history.record(announced, revision, Coverage::AllChanges, std::iter::empty());
         self.advance(now, revision);
     }
 
@@ -32,6 +34,8 @@
         let changed: Vec<ChangedKey> =
             changes.into_iter().filter_map(|change| self.store.apply(change)).collect();
         let revision = next_revision(self.revision);
+        let keys = changed.iter().map(|changed| (changed.key.as_str(), changed.new.is_none()));
+        self.history.record(self.revision, revision, Coverage::AllChanges, keys);
         self.advance(now, revision);
         self.role = Role::Root { announced: revision };
         self.forward(self.update(UpdateKind::Changes, announced, frame_items(&changed)), actions);
--- a/crates/state-sync/src/store.rs
+++ b/crates/state-sync/src/store.rs
@@ -116,6 +116,16 @@
         Some(ChangedKey { key: change.key, old, new })
     }
 
+    /// Returns the number of the range that a key belongs to.
+    pub(crate) fn range_of(key: &str) -> u8 {
+        range_of_hash(xxh3_64(key.as_bytes()))
+    }
+
+    /// Returns an item in its form in a frame. If there is none, marks it as removed.
+    pub(crate) fn frame_item(&self, key: &str) -> Item {
+        frame_item(key, self.entries.get(key).map(|entry| &entry.value))
+    }
+
     /// Returns the items in some ranges, in their form in a frame.
     pub(crate) fn items_in_ranges(&self, ranges: &[u8]) -> Vec<Item> {
         let entries = self.entries.iter().filter(|(_, entry)| ranges.contains(&entry.range));
@@ -139,7 +149,7 @@
 
     fn insert(&mut self, key: String, value: Arc<[u8]>) {
         let key_hash = xxh3_64(key.as_bytes());
-        let range = (key_hash >> RANGE_SHIFT) as u8;
+        let range = range_of_hash(key_hash);
         let hash = xxh3_64_with_seed(&value, key_hash);
         self.digests[usize::from(range)] = self.digests[usize::from(range)].wrapping_add(hash);
         self.entries.insert(key, StoredItem { value, range, hash });
@@ -153,6 +163,10 @@
     }
 }
 
+fn range_of_hash(key_hash: u64) -> u8 {
+    (key_hash >> RANGE_SHIFT) as u8
+}
+
 /// Converts an item to its form in a frame. `None` as its value marks it as removed.
 pub(crate) fn frame_item(key: &str, value: Option<&Arc<[u8]>>) -> Item {
     Item {
--- a/crates/state-sync/src/updates.rs
+++ b/crates/state-sync/src/updates.rs
@@ -8,9 +8,10 @@
 //! applies to the state whose digests were sent.
 
 use crate::children::{Phase, Subscription};
+use crate::history::Coverage;
 use crate::node::{signed_byte_count, Action, Role, SyncNode};
 use crate::publishing::frame_items;
-use crate::store::{change_from_frame, Change, ChangedKey, RANGE_COUNT};
+use crate::store::{change_from_frame, Change, ChangedKey, Store, RANGE_COUNT};
 use quillpulley_protocol::{Body, Item, Revision, Subscribe, Update, UpdateKind};
 use std::collections::HashSet;
 use std::hash::Hash;
@@ -24,8 +25,10 @@
     /// Respond without items: the child is at the node's revision or at a later one in the same epoch, so
     /// that later updates are enough.
     UpToDate,
+    /// Respond with these keys, which include all whose values differ.
+    SendKeys(Vec<String>),
     /// Respond with all items of these ranges.
-    Send(Vec<u8>),
+    SendRanges(Vec<u8>),
 }
 
 impl<Child: Copy + Eq + Hash + Ord> SyncNode<Child> {
@@ -61,6 +64,12 @@
     fn apply_changes(&mut self, now: Duration, update: Update, actions: &mut Vec<Action<Child>>) {
         let changes = update.items.iter().cloned().map(change_from_frame).collect();
         let changed = self.apply_all(changes);
+        let coverage = match update.kind {
+            UpdateKind::Changes => Coverage::AllChanges,
+            UpdateKind::Delta | UpdateKind::RangeRepair => Coverage::Difference,
+        };
+        let keys = update.items.iter().map(|item| (item.key.as_str(), item.removed));
+        self.history.record(self.revision, update.revision, coverage, keys);
         self.advance(now, update.revision);
         let digest = update.digest;
         self.forward(update, actions);
@@ -77,6 +86,8 @@
         }
         let changes = self.changes_of_repair(&repair.complete, repair.items);
         let changed = self.apply_all(changes);
+        let keys = changed.iter().map(|changed| (changed.key.as_str(), changed.new.is_none()));
+        self.history.record(self.revision, repair.revision, Coverage::Difference, keys);
         self.advance(now, repair.revision);
         if self.store.digest() == repair.digest {
             self.forward(self.update(UpdateKind::Delta, repair.base, frame_items(&changed)), actions);
@@ -138,19 +149,34 @@
         self.serve_subscriptions(actions);
     }
 
-    /// Responds to the subscriptions that can be answered now, as far as the limit of bytes allows.
+    /// Responds to the subscriptions that can be answered now, as far as the limit of bytes allows. Children that lack
+    /// only some changes come first, so that they do not wait for those that need much of the state.
     pub(crate) fn serve_subscriptions(&mut self, actions: &mut Vec<Action<Child>>) {
+        let mut need_ranges = Vec::new();
         for (child, subscription) in self.children.subscriptions() {
-            let ranges = match self.decide_repair(&subscription) {
-                RepairDecision::Wait => continue,
-                RepairDecision::UpToDate => Vec::new(),
-                RepairDecision::Send(_) if self.remaining_repair_bytes <= 0 => continue,
-                RepairDecision::Send(ranges) => ranges,
-            };
-            self.send_repair(child, subscription.revision, ranges, actions);
+            match self.decide_repair(&subscription) {
+                RepairDecision::Wait => {}
+                RepairDecision::UpToDate => self.send_keys(child, subscription.revision, &[], actions),
+                RepairDecision::SendKeys(keys) if self.may_send_items() => {
+                    self.send_keys(child, subscription.revision, &keys, actions);
+                }
+                RepairDecision::SendRanges(ranges) => {
+                    need_ranges.push((child, subscription.revision, ranges))
+                }
+                RepairDecision::SendKeys(_) => {}
+            }
+        }
+        for (child, base, ranges) in need_ranges {
+            if self.may_send_items() {
+                self.send_ranges(child, base, ranges, actions);
+            }
         }
     }
 
+    fn may_send_items(&self) -> bool {
+        self.remaining_repair_bytes > 0
+    }
+
     fn decide_repair(&self, subscription: &Subscription) -> RepairDecision {
         if !self.can_serve_children() || self.revision.epoch < subscription.revision.epoch {
             return RepairDecision::Wait;
@@ -159,15 +185,28 @@
             return RepairDecision::UpToDate;
         }
         let ranges = self.store.ranges_differing_from(&subscription.digests);
-        if self.revision > subscription.revision {
-            RepairDecision::Send(ranges)
-        } else if ranges.is_empty() {
-            RepairDecision::UpToDate
-        } else {
-            RepairDecision::Wait
+        match ranges.is_empty() {
+            true => RepairDecision::UpToDate,
+            false if self.revision == subscription.revision => RepairDecision::Wait,
+            false => match self.changed_keys_in(subscription.revision, &ranges) {
+                Some(keys) => RepairDecision::SendKeys(keys),
+                None => RepairDecision::SendRanges(ranges),
+            },
         }
     }
 
+    /// Returns the keys in the differing ranges that have changed since a revision. Returns `None` if the history does
+    /// not reach back that far, or if it does not explain why one of the ranges differs.
+    fn changed_keys_in(&self, since: Revision, differing_ranges: &[u8]) -> Option<Vec<String>> {
+        let changed = self.history.changed_since(since)?;
+        let (keys, ranges): (Vec<String>, Vec<u8>) = changed
+            .map(|key| (key, Store::range_of(key)))
+            .filter(|(_, range)| differing_ranges.contains(range))
+            .map(|(key, range)| (key.to_string(), range))
+            .unzip();
+        differing_ranges.iter().all(|range| ranges.contains(range)).then_some(keys)
+    }
+
     /// Returns whether the state can be sent to children: there is one, its digest is correct, and a new root
     /// has published.
     fn can_serve_children(&self) -> bool {
@@ -178,7 +217,12 @@
         is_announced && !self.digest_mismatch && self.revision != Revision::default()
     }
 
-    fn send_repair(
+    fn send_keys(&mut self, child: Child, base: Revision, keys: &[String], actions: &mut Vec<Action<Child>>) {
+        let items = keys.iter().map(|key| self.store.frame_item(key)).collect();
+        self.send_repair(child, self.update(UpdateKind::RangeRepair, base, items), actions);
+    }
+
+    fn send_ranges(
         &mut self,
         child: Child,
         base: Revision,
@@ -186,14 +230,17 @@
         actions: &mut Vec<Action<Child>>,
     ) {
         let items = self.store.items_in_ranges(&ranges);
-        let bytes: usize = items.iter().map(|item| item.key.len() + item.value.len()).sum();
+        let update = Update { complete: ranges, ..self.update(UpdateKind::RangeRepair, base, items) };
+        self.send_repair(child, update, actions);
+    }
+
+    fn send_repair(&mut self, child: Child, repair: Update, actions: &mut Vec<Action<Child>>) {
+        let bytes: usize = repair.items.iter().map(|item| item.key.len() + item.value.len()).sum();
         self.remaining_repair_bytes -= signed_byte_count(bytes);
-        let mut update = self.update(UpdateKind::RangeRepair, base, items);
-        update.complete = ranges;
         if let Some(state) = self.children.get_mut(child) {
             state.set_phase(Phase::Following);
         }
-        actions.push(Action::SendChild(child, Body::Update(Box::new(update))));
+        actions.push(Action::SendChild(child, Body::Update(Box::new(repair))));
     }
 
     pub(crate) fn tick_updates(&mut self, now: Duration, actions: &mut Vec<Action<Child>>) {
