A former parent is kept until the revision advances with a better one

Cause: an agent that has a working parent tries a better-ranked candidate every three seconds and closed the link to the former parent as soon as that candidate's link was open. One that has just started has nothing to send, which is noticed only after the stall timeout of 1.3 to 1.5 s; then the search begins anew.

Change: a state Trial between the two. The better candidate is the parent, the link to the former one stays open until the revision advances. If it does not within 0.6 s, or if the link closes, the former parent is used again and the candidate gets a penalty.

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! The candidates are ordered by preference, best first. The search connects to the best candidate that is reachable.
 //! It searches for another parent when the link to the parent closes, or when the revision of the published state
-//! stalls. After a stall, the link to the old parent is closed only once the link to the new one is open. While the
-//! agent has a parent, the search tries every few seconds to connect to a better candidate.
+//! stalls. After a stall, the link to the old parent is closed only once the link to the new one is open.
+//!
+//! While the agent has a parent, the search tries every few seconds to connect to a better candidate. The link to the
+//! former parent stays open until the revision has advanced with the better one.
 
 mod penalties;
 
@@ -30,6 +32,8 @@
 /// How often the search tries a candidate that is better than the parent. The interval is randomized by up to a quarter
 /// of itself in either direction.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
+/// How long the revision may take to advance with a better candidate before the former parent is used again.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(600);
 /// The penalties of a parent are cleared if its revision still advances this long after it became the parent.
 const PENALTY_RESET_AFTER: Duration = Duration::from_secs(10);
 
@@ -68,6 +72,9 @@
     /// There is a parent, and its revision has advanced within the stall timeout. The next attempt to connect to a
     /// better candidate is due at `next_review`.
     Attached { next_review: Duration },
+    /// The parent is a better candidate, with which the revision has not advanced yet. The link to the former parent is
+    /// still open. It is used again at `ends_at`.
+    Trial { former: ParentCandidate, ends_at: Duration },
 }
 
 #[derive(Copy, Clone, Debug)]
@@ -112,7 +119,7 @@
         match event {
             Event::Candidates(candidates) => self.candidates = candidates,
             Event::Opened(candidate) => self.link_opened(now, candidate, actions),
-            Event::Lost(candidate) => self.link_lost(now, candidate),
+            Event::Lost(candidate) => self.link_lost(now, candidate, actions),
             Event::RevisionAdvanced => self.revision_advanced(now, actions),
             Event::Tick => {}
         }
@@ -125,6 +132,7 @@
             SearchState::Searching { .. } if self.attempts.len() >= MAX_CONCURRENT_ATTEMPTS => Duration::MAX,
             SearchState::Searching { next_connect, .. } => next_connect,
             SearchState::Attached { next_review } => self.deadline().min(next_review),
+            SearchState::Trial { ends_at, .. } => ends_at,
         }
     }
 
@@ -137,7 +145,7 @@
     pub fn searching_since(&self) -> Option<Duration> {
         match self.state {
             SearchState::Searching { since, .. } => Some(since),
-            SearchState::Attached { .. } => None,
+            SearchState::Attached { .. } | SearchState::Trial { .. } => None,
         }
     }
 
@@ -151,34 +159,70 @@
             return;
         }
         self.failures = 0;
-        let attached_to = match self.state {
-            SearchState::Attached { .. } => self.parent,
-            SearchState::Searching { .. } => None,
-        };
-        if attached_to.is_some_and(|parent| !self.is_better(candidate, parent.candidate)) {
-            actions.push(Action::Close(candidate));
-            return;
+        match (self.state, self.parent()) {
+            (SearchState::Attached { .. }, Some(parent)) if self.is_better(candidate, parent) => {
+                self.start_trial(now, candidate, parent, actions);
+            }
+            (SearchState::Attached { .. }, Some(_)) | (SearchState::Trial { .. }, _) => {
+                actions.push(Action::Close(candidate));
+            }
+            (SearchState::Attached { .. } | SearchState::Searching { .. }, _) => {
+                self.switch_to(now, candidate, actions);
+            }
         }
-        self.switch_to(now, candidate, actions);
     }
 
     fn switch_to(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
+        let former = self.parent();
+        self.use_candidate(now, candidate, actions);
+        actions.extend(former.map(Action::Close));
+        self.keep_parent(now, actions);
+    }
+
+    fn start_trial(
+        &mut self,
+        now: Duration,
+        candidate: ParentCandidate,
+        former: ParentCandidate,
+        actions: &mut Vec<Action>,
+    ) {
+        self.use_candidate(now, candidate, actions);
+        self.change_state(SearchState::Trial { former, ends_at: now + TRIAL_TIMEOUT });
+    }
+
+    /// Ends a trial in which the better candidate has failed: uses the former parent again.
+    fn return_to(&mut self, now: Duration, former: ParentCandidate, actions: &mut Vec<Action>) {
+        let failed = self.parent();
+        failed.into_iter().for_each(|failed| self.penalties.add(now, failed));
+        self.use_candidate(now, former, actions);
+        actions.extend(failed.map(Action::Close));
+        self.keep_parent(now, actions);
+    }
+
+    fn use_candidate(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
         actions.push(Action::Use(candidate));
-        if let Some(old) = self.parent.take() {
-            actions.push(Action::Close(old.candidate));
-        }
         self.parent = Some(Parent { candidate, since: now, stall_timeout: self.stall_timeout(candidate) });
-        self.keep_parent(now, actions);
     }
 
-    fn link_lost(&mut self, now: Duration, candidate: ParentCandidate) {
+    fn link_lost(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
         if self.remove_attempt(candidate) {
             self.penalties.add(now, candidate);
             self.failures = self.failures.saturating_add(1);
             self.schedule_retry(now);
         } else if self.parent() == Some(candidate) {
-            self.parent = None;
+            self.parent_lost(now, candidate, actions);
+        } else if matches!(self.state, SearchState::Trial { former, .. } if former == candidate) {
             self.penalties.add(now, candidate);
+            self.keep_parent(now, actions);
+        }
+    }
+
+    fn parent_lost(&mut self, now: Duration, parent: ParentCandidate, actions: &mut Vec<Action>) {
+        self.parent = None;
+        self.penalties.add(now, parent);
+        if let SearchState::Trial { former, .. } = self.state {
+            self.return_to(now, former, actions);
+        } else {
             let next_connect = now + self.jitter(MIN_BACKOFF);
             self.start_search(now, next_connect);
         }
@@ -198,8 +242,13 @@
             true => self.penalties.clear(parent.candidate),
             false => self.penalties.expire(now, parent.candidate),
         }
-        if let SearchState::Searching { .. } = self.state {
-            self.keep_parent(now, actions);
+        match self.state {
+            SearchState::Searching { .. } => self.keep_parent(now, actions),
+            SearchState::Trial { former, .. } => {
+                actions.push(Action::Close(former));
+                self.keep_parent(now, actions);
+            }
+            SearchState::Attached { .. } => {}
         }
     }
 
@@ -220,6 +269,7 @@
                 let next_review = now + self.randomized(REVIEW_INTERVAL, 0.25);
                 self.change_state(SearchState::Attached { next_review });
             }
+            SearchState::Trial { former, ends_at } if now >= ends_at => self.return_to(now, former, actions),
             _ => {}
         }
     }
@@ -281,7 +331,8 @@
     }
 
     fn is_in_use(&self, candidate: ParentCandidate) -> bool {
-        self.parent() == Some(candidate) || self.attempts.contains(&candidate)
+        let is_former = matches!(self.state, SearchState::Trial { former, .. } if former == candidate);
+        is_former || self.parent() == Some(candidate) || self.attempts.contains(&candidate)
     }
 
     /// Returns whether one candidate is better than another. A process that is no longer a candidate ranks below all
