Control nodes are tried once the state is two seconds old

Cause: the clock of a stalled parent starts anew with each parent, and the search ends when a link is open. Each agent that is connected but waits for a parent itself costs 1.3 to 1.5 s more; nothing bounded the time since the revision last advanced.

Change: once the revision is 2 s old, a parent that is an agent is given up (it has 0.3 s at least), and control nodes are tried before agents. They have no parent in the zone, so a control node that answers ends the wait, whatever the agents of the zone do.

Tests: two timelines, which fail on the former code.

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -2,7 +2,9 @@
 //!
 //! The candidates are ordered by preference, best first. The search connects to the best candidate that is reachable.
 //! It searches for another parent when the link to the parent closes, or when the revision of the published state
-//! stalls. After a stall, the link to the old parent is closed only once the link to the new one is open.
+//! stalls. After a stall, the link to the old parent is closed only once the link to the new one is open. Once the
+//! revision is older than [`MAX_AGE_BELOW_AGENTS`], control nodes are tried before agents, whatever has been tried until
+//! then: an agent that is connected may itself wait for its parent, and so on.
 //!
 //! While the agent has a parent, the search tries every few seconds to connect to a better candidate. The link to the
 //! former parent stays open until the revision has advanced with the better one.
@@ -32,6 +34,11 @@
 /// How often the search tries a candidate that is better than the parent. The interval is randomized by up to a quarter
 /// of itself in either direction.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
+/// The age of the revision from which a parent that is an agent is given up, and control nodes are tried first. It leaves
+/// an agent the time to find another parent itself.
+const MAX_AGE_BELOW_AGENTS: Duration = Duration::from_millis(2_000);
+/// The time that an agent has after it became the parent even if the revision is older than that.
+const MIN_TIME_OF_AGENT: Duration = Duration::from_millis(300);
 /// How long the revision may take to advance with a better candidate before the former parent is used again.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(600);
 /// The penalties of a parent are cleared if its revision still advances this long after it became the parent.
@@ -274,12 +281,16 @@
         }
     }
 
-    /// Connects to the best candidate without a penalty. If all have penalties, connects to the one whose penalty
-    /// expires first. Returns the delay until the next attempt.
+    /// Connects to the best candidate without a penalty, or to the best control node if the revision is too old. If all
+    /// have penalties, connects to the one whose penalty expires first. Returns the delay until the next attempt.
     fn connect_to_next(&mut self, now: Duration, actions: &mut Vec<Action>) -> Duration {
         if self.attempts.len() < MAX_CONCURRENT_ATTEMPTS {
             let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
-            let next = untried.min_by_key(|candidate| self.penalties.remaining(now, *candidate));
+            let avoid_agents = now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
+            let next = untried.min_by_key(|candidate| {
+                let is_avoided = avoid_agents && matches!(candidate, ParentCandidate::Agent(_));
+                (self.penalties.remaining(now, *candidate), is_avoided)
+            });
             next.into_iter().for_each(|candidate| self.connect(candidate, actions));
         }
         ATTEMPT_STAGGER
@@ -349,7 +360,14 @@
     /// Returns when the parent will be considered stalled, unless the revision advances before then.
     fn deadline(&self) -> Duration {
         let Some(parent) = self.parent else { return Duration::MAX };
-        self.revision_advanced_at.max(parent.since) + parent.stall_timeout
+        let stalled_at = self.revision_advanced_at.max(parent.since) + parent.stall_timeout;
+        match parent.candidate {
+            ParentCandidate::ControlNode(_) => stalled_at,
+            ParentCandidate::Agent(_) => {
+                let too_old_at = self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
+                stalled_at.min(too_old_at.max(parent.since + MIN_TIME_OF_AGENT))
+            }
+        }
     }
 
     fn stall_timeout(&mut self, candidate: ParentCandidate) -> Duration {
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -247,6 +247,44 @@
     );
 }
 
+/// Guards against configurations that are late because an agent tries one agent after another, each of which is
+/// connected but waits for a parent itself.
+#[test]
+fn control_nodes_are_tried_once_the_revision_is_too_old_with_agents() {
+    run_timeline(
+        "
+            0 | candidates A1 A2 A3 C1 C2 | connect A1
+           10 | opened A1                 | use A1
+          100 | advanced                  |
+         1610 |                           | connect A2
+         1620 | opened A2                 | use A2, close A1
+         2090 |                           |
+         2100 |                           | connect C1
+         2350 |                           | connect C2
+         2360 | opened C2                 | use C2, close A2
+         2370 | advanced                  |
+        ",
+    );
+}
+
+#[test]
+fn an_agent_that_becomes_the_parent_late_has_some_time() {
+    run_timeline(
+        "
+            0 | candidates A1 | connect A1
+           10 | opened A1     | use A1
+          100 | advanced      |
+         1610 |               |
+         1700 | lost A1       |
+         1760 | candidates A2 | connect A2
+         2000 | opened A2     | use A2
+         2290 | candidates A2 C1 |
+         2310 |               | connect C1
+         2320 | advanced      | close C1
+        ",
+    );
+}
+
 #[test]
 fn a_better_candidate_that_fails_changes_nothing_and_gets_a_penalty() {
     run_timeline(
