Long published state is compressed, once for all links

Cause: only log and state of the replication were compressed, since a message is encoded once for all children and the compression would have been made for each.

Change: an OutgoingMessage holds the encoded message and, once it is asked for, its compressed form, for all links it is queued on. Ordered messages beyond 16 KiB are compressed where the peer has announced that it decompresses; the queue's limit counts what is queued. Control nodes encode an update once for all children, as agents did.

Test: published_state_is_not_compressed is replaced by two that say which messages are (long items, complete states) and which are not (updates up to 16 KB); both fail on the former code, as the removed test states.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,6 +16,7 @@
 mod lane;
 mod locality;
 mod node_id;
+mod outgoing;
 mod queue;
 
 pub use framing::{
@@ -25,4 +26,5 @@
 pub use generated::quillpulley::protocol::*;
 pub use lane::Lane;
 pub use locality::Locality;
+pub use outgoing::{OutgoingMessage, MIN_COMPRESSED_ORDERED_BYTES};
 pub use queue::{FrameQueue, QueueFull, CHUNK_WINDOW_BYTES};
--- a/crates/protocol/src/queue.rs
+++ b/crates/protocol/src/queue.rs
@@ -4,9 +4,9 @@
 //! bytes that are in flight or in socket buffers, so that a heartbeat which is sent after a long message is not delayed
 //! by it.
 
-use crate::compression::compress;
 use crate::framing::{frame_message, FrameKind, Prefix, MAX_CHUNK_BYTES};
 use crate::lane::Lane;
+use crate::outgoing::OutgoingMessage;
 use displaydoc::Display;
 use std::collections::VecDeque;
 
@@ -58,7 +58,7 @@
         self.ready.splice(..0, bytes.iter().copied());
     }
 
-    /// Enables compression of long messages of [`Lane::State`]. The peer must have announced that it can decompress them.
+    /// Enables compression of long messages. The peer must have announced that it can decompress them.
     pub fn enable_compression(&mut self) {
         self.compression_enabled = true;
     }
@@ -69,31 +69,24 @@
     ///
     /// # Errors
     /// [`QueueFull`] if the message is rejected.
-    pub fn push(&mut self, lane: Lane, message: &[u8], max_bytes: usize) -> Result<(), QueueFull> {
+    pub fn push(&mut self, message: &OutgoingMessage<'_>, max_bytes: usize) -> Result<(), QueueFull> {
+        let lane = message.lane();
+        let compressed = self.compression_enabled.then(|| message.compressed()).flatten();
+        let bytes = compressed.unwrap_or(message.bytes());
         if lane == Lane::State {
             self.states.retain(|pending| pending.sent_bytes > 0);
         } else {
             let before = self.bounded_bytes();
-            if before > 0 && before + message.len() > max_bytes {
+            if before > 0 && before + bytes.len() > max_bytes {
                 return Err(QueueFull);
             }
         }
-        let is_short = message.len() <= MAX_CHUNK_BYTES && self.ready_bytes() <= MAX_CHUNK_BYTES;
-        let lane_is_empty = match lane {
-            Lane::Control => true,
-            Lane::Ordered => self.ordered.is_empty(),
-            Lane::State => self.states.is_empty(),
-        };
-        if lane == Lane::Control || is_short && lane_is_empty {
-            frame_message(message, &mut self.ready);
+        let is_compressed = compressed.is_some();
+        if lane == Lane::Control || !is_compressed && self.can_be_written_whole(lane, bytes) {
+            frame_message(bytes, &mut self.ready);
             return Ok(());
         }
-        let is_compressible =
-            self.compression_enabled && lane == Lane::State && message.len() > MAX_CHUNK_BYTES;
-        let compressed = is_compressible.then(|| compress(message)).flatten();
-        let is_compressed = compressed.is_some();
-        let bytes = compressed.unwrap_or_else(|| message.to_vec());
-        let message = Message { lane, bytes, is_compressed, sent_bytes: 0 };
+        let message = Message { lane, bytes: bytes.to_vec(), is_compressed, sent_bytes: 0 };
         match lane {
             Lane::State => self.states.push_back(message),
             _ => self.ordered.push_back(message),
@@ -101,6 +94,16 @@
         Ok(())
     }
 
+    /// Returns whether a message can be written whole without delaying others for long or overtaking one of its lane.
+    fn can_be_written_whole(&self, lane: Lane, bytes: &[u8]) -> bool {
+        let lane_is_empty = match lane {
+            Lane::Control => true,
+            Lane::Ordered => self.ordered.is_empty(),
+            Lane::State => self.states.is_empty(),
+        };
+        lane_is_empty && bytes.len() <= MAX_CHUNK_BYTES && self.ready_bytes() <= MAX_CHUNK_BYTES
+    }
+
     /// Returns the next bytes to be written. The slice is empty if the queue is empty, or if only chunks are queued and the
     /// window of unacknowledged chunks is full.
     pub fn pending(&mut self) -> &[u8] {
--- a/crates/protocol/tests/queue.rs
+++ b/crates/protocol/tests/queue.rs
@@ -2,8 +2,9 @@
 
 use quickcheck::quickcheck;
 use quillpulley_protocol::{
-    compression_announcement, Append, Body, Entry, FrameDecoder, FrameEncoder, FrameQueue, Install, Lane,
-    LeaseGrant, Position, Update, CHUNK_WINDOW_BYTES, MAX_CHUNK_BYTES,
+    compression_announcement, encode_value, Append, Body, EndpointState, Entry, FrameDecoder, FrameEncoder,
+    FrameQueue, Install, Item, Lane, LeaseGrant, OutgoingMessage, Position, ProxyEndpoint, Revision, Server,
+    ServerState, Update, UpdateKind, CHUNK_WINDOW_BYTES, MAX_CHUNK_BYTES,
 };
 
 const MAX_QUEUE_BYTES: usize = 8 * 1024 * 1024;
@@ -44,7 +45,7 @@
 impl TestLink {
     fn send(&mut self, body: &Body) {
         self.queue
-            .push(Lane::of(body), self.encoder.message(body), MAX_QUEUE_BYTES)
+            .push(&OutgoingMessage::new(Lane::of(body), self.encoder.message(body)), MAX_QUEUE_BYTES)
             .expect("the queue has room");
     }
 
@@ -156,10 +157,10 @@
     let mut full_queue = FrameQueue::default();
     let long = vec![0; MAX_QUEUE_BYTES];
     full_queue
-        .push(Lane::Ordered, &long, MAX_QUEUE_BYTES)
+        .push(&OutgoingMessage::new(Lane::Ordered, &long), MAX_QUEUE_BYTES)
         .expect("a message may exceed the limit if the queue is empty");
-    assert!(full_queue.push(Lane::Ordered, &[0; 100], MAX_QUEUE_BYTES).is_err());
-    assert!(full_queue.push(Lane::State, &long, MAX_QUEUE_BYTES).is_ok());
+    assert!(full_queue.push(&OutgoingMessage::new(Lane::Ordered, &[0; 100]), MAX_QUEUE_BYTES).is_err());
+    assert!(full_queue.push(&OutgoingMessage::new(Lane::State, &long), MAX_QUEUE_BYTES).is_ok());
 }
 
 #[test]
@@ -251,10 +252,72 @@
     assert_eq!(link.received, [message]);
 }
 
+/// Returns the response to the subscription of an agent without state, for a system of 326 servers and 295 proxies.
+fn complete_state() -> Body {
+    let mut random = fastrand::Rng::with_seed(11);
+    let zones = ["north-a", "north-b", "south-a", "south-b", "west-a", "west-b"];
+    let mut items = Vec::new();
+    for number in 0..326u32 {
+        let id = format!("i-{:010x}", random.u64(..1 << 40));
+        let server = Server {
+            id: id.clone(),
+            service: "dispatch".into(),
+            address: format!("10.6.{}.{}:8664", number / 200, random.u8(..)),
+            zone: zones[random.usize(..zones.len())].into(),
+            slots: 16,
+            state: ServerState::Ready,
+            warmup_remaining_ms: 0,
+            time_remaining_ms: 0,
+            has_time_remaining: false,
+        };
+        items.push(Item { key: format!("server/{id}"), removed: false, value: encode_value(&server) });
+    }
+    for number in 0..295u32 {
+        let zone = zones[number as usize % zones.len()];
+        let name = format!("front-{zone}-{number}");
+        let endpoint = ProxyEndpoint {
+            name: name.clone(),
+            ip: 0x0a01_0000 + number,
+            zone: zone.into(),
+            region: zone[..5].into(),
+            address: format!("10.1.{}.{}:8161", number / 200, number % 200),
+            state: EndpointState::Ready,
+            incarnation: 1_700_000_000_000_000 + random.u64(..60_000_000),
+            preferred_regions: Vec::new(),
+        };
+        items.push(Item { key: format!("endpoint/{name}"), removed: false, value: encode_value(&endpoint) });
+    }
+    let revision = Revision { epoch: 3, tick: 100 };
+    let update = Update {
+        kind: UpdateKind::RangeRepair,
+        base: Revision::default(),
+        revision,
+        digest: random.u64(..),
+        complete: (0..64).collect(),
+        items,
+    };
+    Body::Update(Box::new(update))
+}
+
+/// Guards against agents that wait for each other's complete states on a slow link.
 #[test]
-fn published_state_is_not_compressed() {
+fn a_complete_state_takes_less_than_half_of_its_bytes_if_the_peer_can_decompress() {
+    let state = complete_state();
+    let mut plain = TestLink::default();
+    let plain_bytes = transferred_bytes(&mut plain, &state);
+    let mut link = link_with_compression();
+    let bytes = transferred_bytes(&mut link, &state);
+    println!("{plain_bytes} bytes, compressed {bytes}");
+    assert!(bytes < plain_bytes / 2, "{bytes} of {plain_bytes}");
+    assert_eq!((&plain.received, &link.received), (&vec![state.clone()], &vec![state]));
+}
+
+#[test]
+fn long_published_items_are_compressed_and_short_updates_are_not() {
+    let mut link = link_with_compression();
+    assert!(transferred_bytes(&mut link, &update(1, 300_000)) < 30_000);
     let mut link = link_with_compression();
-    assert!(transferred_bytes(&mut link, &update(1, 300_000)) > 300_000);
+    assert!(transferred_bytes(&mut link, &update(1, 16_000)) > 16_000);
 }
 
 #[test]
--- a/crates/quillpulley/src/control/distribution/relay_node.rs
+++ b/crates/quillpulley/src/control/distribution/relay_node.rs
@@ -94,12 +94,8 @@
                     links.send_to_control_node(parent, &body);
                 }
             }
-            Action::SendChild(child, body) => send_to_child(child, &body, links),
-            Action::SendChildren(children, body) => {
-                for child in children {
-                    send_to_child(child, &body, links);
-                }
-            }
+            Action::SendChild(child, body) => send_to_children(&[child], &body, links),
+            Action::SendChildren(children, body) => send_to_children(&children, &body, links),
             Action::DropChild(child) => self.drop_child(child, links),
             Action::Changed(changed) => {
                 self.directory_changed |= self.directory.items_changed(&changed);
@@ -194,9 +190,12 @@
     }
 }
 
-fn send_to_child(child: Child, body: &Body, links: &Links) {
-    match child {
-        Child::ControlNode(node) => links.send_to_control_node(node, body),
-        Child::Agent(link) => links.send_to_agent(link, body),
-    }
+/// Sends a message to the children that are reachable.
+fn send_to_children(children: &[Child], body: &Body, links: &Links) {
+    let link_to = |child: &Child| match child {
+        Child::ControlNode(node) => links.link_to(*node),
+        Child::Agent(link) => Some(*link),
+    };
+    let reachable: Vec<LinkId> = children.iter().filter_map(link_to).collect();
+    links.send_all(&reachable, body);
 }
--- a/crates/quillpulley/src/control/replica_host/links.rs
+++ b/crates/quillpulley/src/control/replica_host/links.rs
@@ -127,14 +127,19 @@
 
     /// Sends a message to a control node. Drops it if the node is not reachable.
     pub fn send_to_control_node(&self, node: NodeId, body: &Body) {
-        if let Some(link) = self.table.link_to(node) {
+        if let Some(link) = self.link_to(node) {
             self.peers.send(link, body);
         }
     }
 
-    /// Sends a message to an agent.
-    pub fn send_to_agent(&self, link: LinkId, body: &Body) {
-        self.peers.send(link, body);
+    /// Returns the link on which messages are sent to a control node, or `None` if it is not reachable.
+    pub fn link_to(&self, node: NodeId) -> Option<LinkId> {
+        self.table.link_to(node)
+    }
+
+    /// Sends the same message on several links. It is encoded only once.
+    pub fn send_all(&self, links: &[LinkId], body: &Body) {
+        self.peers.send_all(links, body);
     }
 
     /// Closes the link of an agent.
@@ -145,7 +150,7 @@
 
     /// Returns whether messages can be sent to a control node.
     pub fn can_send_to(&self, node: NodeId) -> bool {
-        self.table.link_to(node).is_some()
+        self.link_to(node).is_some()
     }
 
     /// Returns whether messages can be sent to a control node and received from it.
--- a/crates/quillpulley/src/peer/link_table.rs
+++ b/crates/quillpulley/src/peer/link_table.rs
@@ -3,7 +3,7 @@
 use super::outbound::Outbound;
 use super::{LinkId, PeerEvent};
 use log::{debug, warn};
-use quillpulley_protocol::{Body, Hello, Lane};
+use quillpulley_protocol::{Body, Hello, OutgoingMessage};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -104,10 +104,10 @@
     }
 
     /// Queues an encoded message. Closes the link if its queue is full.
-    pub fn send_message(&mut self, link: LinkId, lane: Lane, message: &[u8]) {
+    pub fn send_message(&mut self, link: LinkId, message: &OutgoingMessage<'_>) {
         let Some(entry) = self.links.get(&link) else { return };
         let mut outbound = entry.outbound.borrow_mut();
-        if outbound.push(lane, message, self.max_queued_bytes).is_err() {
+        if outbound.push(message, self.max_queued_bytes).is_err() {
             warn!(link:% = link, address:% = entry.address; "closing the link: the peer reads too slowly; check its load");
             outbound.close();
         }
--- a/crates/quillpulley/src/peer/mod.rs
+++ b/crates/quillpulley/src/peer/mod.rs
@@ -12,7 +12,7 @@
 mod socket;
 
 use link_table::LinkTable;
-use quillpulley_protocol::{Body, FrameEncoder, Hello, Lane};
+use quillpulley_protocol::{Body, FrameEncoder, Hello, Lane, OutgoingMessage};
 use std::cell::{Cell, RefCell};
 use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
@@ -153,13 +153,12 @@
         self.send_all(&[link], body);
     }
 
-    /// Queues a message on several links. The message is encoded only once.
+    /// Queues a message on several links. The message is encoded, and compressed if that is worth it, only once.
     pub fn send_all(&self, links: &[LinkId], body: &Body) {
         let encoder = &mut self.shared.encoder.borrow_mut();
-        let message = encoder.message(body);
+        let message = OutgoingMessage::new(Lane::of(body), encoder.message(body));
         let mut link_table = self.shared.link_table.borrow_mut();
-        let lane = Lane::of(body);
-        links.iter().for_each(|link| link_table.send_message(*link, lane, message));
+        links.iter().for_each(|link| link_table.send_message(*link, &message));
     }
 
     /// Closes a link. Of the queued bytes, only those that the socket accepts without blocking are still sent.
--- a/crates/quillpulley/src/peer/outbound.rs
+++ b/crates/quillpulley/src/peer/outbound.rs
@@ -1,6 +1,6 @@
 //! The queue of outgoing messages of one link.
 
-use quillpulley_protocol::{FrameQueue, Lane, QueueFull};
+use quillpulley_protocol::{FrameQueue, OutgoingMessage, QueueFull};
 use std::task::{Context, Waker};
 
 /// The queue of outgoing messages of a link, and the waker of the task that writes them.
@@ -22,11 +22,11 @@
     ///
     /// # Errors
     /// [`QueueFull`] if more than `max_bytes` would be queued.
-    pub fn push(&mut self, lane: Lane, message: &[u8], max_bytes: usize) -> Result<(), QueueFull> {
+    pub fn push(&mut self, message: &OutgoingMessage<'_>, max_bytes: usize) -> Result<(), QueueFull> {
         if self.closing {
             return Ok(());
         }
-        self.queue.push(lane, message, max_bytes)?;
+        self.queue.push(message, max_bytes)?;
         self.wake();
         Ok(())
     }
@@ -61,7 +61,7 @@
         self.queue.receive_acknowledgement(acknowledged_bytes);
     }
 
-    /// Enables compression of long log entries and states. The peer must have announced that it can decompress them.
+    /// Enables compression of long messages. The peer must have announced that it can decompress them.
     pub fn enable_compression(&mut self) {
         self.queue.enable_compression();
     }
--- a/crates/quillpulley/tests/catch_up/world.rs
+++ b/crates/quillpulley/tests/catch_up/world.rs
@@ -2,7 +2,9 @@
 //! and link queues.
 
 use super::disk::Disk;
-use quillpulley_protocol::{Body, Entry, FrameDecoder, FrameEncoder, FrameQueue, Lane, NodeId};
+use quillpulley_protocol::{
+    Body, Entry, FrameDecoder, FrameEncoder, FrameQueue, Lane, NodeId, OutgoingMessage,
+};
 use quillpulley_replication::{
     Action, Event, Faults, Options, RejectReason, Replica, RestoreError, Role, StateMachine, WriteFailed,
 };
@@ -392,7 +394,9 @@
             pipe.heartbeats.push_back(now);
         }
         let message = self.encoder.message(body);
-        pipe.queue.push(Lane::of(body), message, MAX_QUEUED_BYTES).expect("the link stays open");
+        pipe.queue
+            .push(&OutgoingMessage::new(Lane::of(body), message), MAX_QUEUED_BYTES)
+            .expect("the link stays open");
         self.send_packet(machine);
     }
 
