Responses to subscriptions are counted as the link will carry them

Cause: half of a machine's link is meant for responses, counted in bytes of items. Now that long responses are compressed, fifteen children without state were still served one after another at the speed of their uncompressed states.

Change: responses that are long enough to be compressed count half.

--- a/crates/state-sync/src/node.rs
+++ b/crates/state-sync/src/node.rs
@@ -98,7 +98,7 @@
     /// Since when the state has been fresh without interruption; only meaningful while it is fresh.
     pub(crate) fresh_since: Duration,
     pub(crate) children: Children<Child>,
-    /// Bytes of items that may still be sent in responses in this interval. Negative after a response that
+    /// Bytes that responses are still expected to take on the link in this interval. Negative after a response that
     /// exceeded the limit.
     pub(crate) remaining_repair_bytes: i64,
     pub(crate) repair_interval_began_at: Duration,
--- a/crates/state-sync/src/options.rs
+++ b/crates/state-sync/src/options.rs
@@ -1,5 +1,6 @@
 //! The options of a node.
 
+use quillpulley_protocol::MIN_COMPRESSED_ORDERED_BYTES;
 use std::time::Duration;
 
 const REPAIR_INTERVAL: Duration = Duration::from_millis(50);
@@ -7,6 +8,8 @@
 /// The fraction of the link's bandwidth that responses to subscriptions may use.
 const REPAIR_LINK_SHARE: f64 = 0.5;
 const BYTES_PER_MEGABIT: f64 = 1e6 / 8.0;
+/// The factor by which compression on the link shortens long responses at least, as their items are alike.
+const EXPECTED_COMPRESSION: usize = 2;
 
 /// The options of a [`SyncNode`](crate::SyncNode).
 ///
@@ -26,7 +29,7 @@
     pub name: String,
     /// Maximum number of children. Further ones are rejected.
     pub max_children: usize,
-    /// Maximum number of bytes of items that responses to subscriptions may contain in each
+    /// Maximum number of bytes that responses to subscriptions are expected to take on the link in each
     /// `repair_interval`. A response that exceeds it is still sent, and the excess is deducted from the
     /// following intervals. Other subscriptions wait in the meantime.
     pub repair_bytes: usize,
@@ -80,6 +83,14 @@
     }
 }
 
+/// Returns the number of bytes that a response with this many bytes of items is expected to take on the link.
+pub(crate) fn expected_link_bytes(item_bytes: usize) -> usize {
+    match item_bytes > MIN_COMPRESSED_ORDERED_BYTES {
+        true => item_bytes / EXPECTED_COMPRESSION,
+        false => item_bytes,
+    }
+}
+
 /// Returns the number of bytes that responses to subscriptions may use of a link in each [`REPAIR_INTERVAL`].
 fn repair_bytes(link_mbps: f64) -> usize {
     (link_mbps * BYTES_PER_MEGABIT * REPAIR_LINK_SHARE * REPAIR_INTERVAL.as_secs_f64()) as usize
--- a/crates/state-sync/src/updates.rs
+++ b/crates/state-sync/src/updates.rs
@@ -10,6 +10,7 @@
 use crate::children::{Phase, Subscription};
 use crate::history::Coverage;
 use crate::node::{signed_byte_count, Action, Role, SyncNode};
+use crate::options::expected_link_bytes;
 use crate::publishing::frame_items;
 use crate::store::{change_from_frame, Change, ChangedKey, Store, RANGE_COUNT};
 use quillpulley_protocol::{Body, Item, Revision, Subscribe, Update, UpdateKind};
@@ -236,7 +237,7 @@
 
     fn send_repair(&mut self, child: Child, repair: Update, actions: &mut Vec<Action<Child>>) {
         let bytes: usize = repair.items.iter().map(|item| item.key.len() + item.value.len()).sum();
-        self.remaining_repair_bytes -= signed_byte_count(bytes);
+        self.remaining_repair_bytes -= signed_byte_count(expected_link_bytes(bytes));
         if let Some(state) = self.children.get_mut(child) {
             state.set_phase(Phase::Following);
         }
--- a/crates/state-sync/tests/change_history.rs
+++ b/crates/state-sync/tests/change_history.rs
@@ -128,3 +128,21 @@
     ",
     );
 }
+
+/// Guards against agents that wait for seconds for each other's complete states on a slow link: 15 children of one agent,
+/// which come back together without state.
+#[test]
+fn all_children_that_come_back_without_state_are_served_within_a_stall_timeout() {
+    const CHILDREN: usize = 15;
+    let names = (0..=CHILDREN + 1).map(|number| format!("node-{number}"));
+    let mut network = Network::new(names.map(|name| Options::new(&name).with_link_mbps(10.0)));
+    network.handle(ROOT, Event::BecomeRoot { epoch: 1 });
+    network.publish(ROOT, items(0..ITEMS, 1));
+    network.connect(RELAY, ROOT);
+    network.deliver_all();
+    network.now += Duration::from_secs(1);
+    (0..CHILDREN).for_each(|child| network.connect(child + 2, RELAY));
+    network.run_until(Duration::from_millis(2_300));
+    let without_state = (0..CHILDREN).filter(|child| network.items(child + 2).is_empty()).count();
+    assert_eq!(without_state, 0);
+}
