Log lines that tell the causes of a late configuration apart

New are, at most once a second and only while the state is older than a second:

- at an agent the age of its state, its parent, since when and why it is the parent, and how long its subscription has waited, or the size and delay of the response; each change of the parent in that time;
- at a proxy the age of its state, its link to the agent and its subscription;
- at a proxy a newer configuration in its store that isn't active, and why: before, an incomplete one was logged at debug level and its duration nowhere.

The end of each is logged with how long it lasted, also if the process did not run meanwhile. ParentSearch stays pure: the reason for a change of the parent is an accessor. No decision changes.

--- a/crates/quillpulley/src/agent/host/mod.rs
+++ b/crates/quillpulley/src/agent/host/mod.rs
@@ -1,6 +1,7 @@
 //! The event loop of an agent: passes events to the state machines and performs their actions.
 
 mod links;
+mod staleness;
 mod tree;
 
 use crate::agent::children::Children;
@@ -11,6 +12,7 @@
 use crate::agent::parent_search::{self, ParentSearch};
 use crate::agent::peer_directory::PeerDirectory;
 use crate::agent::{AgentSockets, LoadSettings};
+use crate::lag::LagMonitor;
 use crate::peer::{LinkId, PeerEvent, PeerOptions, Peers};
 use crate::signals::ProcessSignal;
 use crate::Settings;
@@ -55,6 +57,8 @@
     failed_candidates: Vec<ParentCandidate>,
     /// The parent that was last logged, so that each change of the parent is logged once.
     logged_parent: Option<ParentCandidate>,
+    /// Follows the age of the published state, for the log.
+    staleness: LagMonitor,
     seeds_read_at: Duration,
 }
 
@@ -85,6 +89,7 @@
             directory_changed: true,
             failed_candidates: Vec::new(),
             logged_parent: None,
+            staleness: LagMonitor::default(),
             seeds_read_at: Duration::ZERO,
             settings,
             load_settings,
@@ -118,6 +123,7 @@
             self.monitor.next_tick(),
             self.parent_search.next_tick(),
             self.drain.next_tick(),
+            self.staleness.next_report(),
             self.now() + SEED_RELOAD_INTERVAL,
         ];
         let due = due.into_iter().min().unwrap_or_default().max(self.now());
@@ -138,6 +144,7 @@
         if now >= self.parent_search.next_tick() {
             self.handle_parent_search(parent_search::Event::Tick);
         }
+        self.report_staleness();
         self.reload_seeds_if_due();
         self.update_drain();
     }
--- a/crates/quillpulley/src/agent/host/tree.rs
+++ b/crates/quillpulley/src/agent/host/tree.rs
@@ -4,7 +4,7 @@
 use crate::agent::parent_search;
 use crate::agent::peer_directory::PeerDirectory;
 use crate::peer::LinkId;
-use log::{debug, info};
+use log::info;
 use quillpulley_membership as membership;
 use quillpulley_state_sync as state_sync;
 use quillpulley_state_sync::parent_selection::ParentCandidate;
@@ -53,7 +53,7 @@
                 self.parents.add(candidate, link);
             }
             parent_search::Action::Use(candidate) => {
-                debug!(address:% = self.address(candidate); "parent selected");
+                self.log_parent_change(candidate);
                 self.parents.set_parent(candidate);
                 self.handle_sync(state_sync::Event::ParentUp);
             }
@@ -64,7 +64,7 @@
         }
     }
 
-    fn address(&self, candidate: ParentCandidate) -> SocketAddr {
+    pub(super) fn address(&self, candidate: ParentCandidate) -> SocketAddr {
         match candidate {
             ParentCandidate::ControlNode(ip) => SocketAddr::from((ip, self.settings.control_port())),
             ParentCandidate::Agent(ip) => SocketAddr::from((ip, self.settings.agent_port())),
@@ -75,8 +75,11 @@
         let parent = self.parent_search.parent();
         if let Some(candidate) = parent.filter(|_| parent != self.logged_parent) {
             let revision = self.node.revision();
+            let reason = self.parent_search.change_reason();
+            let subscription = self.node.subscription_progress(self.now());
             info!(
-                parent:% = self.address(candidate), epoch = revision.epoch, tick = revision.tick;
+                parent:% = self.address(candidate), reason:% = reason, subscription:% = subscription,
+                epoch = revision.epoch, tick = revision.tick;
                 "subscribed to parent"
             );
             self.logged_parent = parent;
--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -7,6 +7,7 @@
 
 mod penalties;
 
+use displaydoc::Display;
 use penalties::Penalties;
 use quillpulley_state_sync::parent_selection::ParentCandidate;
 use std::time::Duration;
@@ -59,6 +60,19 @@
     Close(ParentCandidate),
 }
 
+/// Why a process became the parent.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+pub enum ParentChangeReason {
+    /// first parent
+    First,
+    /// the link to the previous parent closed
+    Lost,
+    /// the revision stalled
+    Stalled,
+    /// better candidate
+    BetterCandidate,
+}
+
 /// Whether the search has a working parent.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 enum SearchState {
@@ -74,6 +88,7 @@
 struct Parent {
     candidate: ParentCandidate,
     since: Duration,
+    reason: ParentChangeReason,
     stall_timeout: Duration,
 }
 
@@ -84,6 +99,8 @@
     /// The candidates to which a connection attempt is in progress.
     attempts: Vec<ParentCandidate>,
     parent: Option<Parent>,
+    /// Why the latest search began.
+    search_reason: ParentChangeReason,
     revision_advanced_at: Duration,
     /// The number of connection attempts that have failed since one last succeeded.
     failures: u32,
@@ -100,6 +117,7 @@
             candidates: Vec::new(),
             attempts: Vec::new(),
             parent: None,
+            search_reason: ParentChangeReason::First,
             revision_advanced_at: Duration::ZERO,
             failures: 0,
             penalties: Penalties::default(),
@@ -133,6 +151,16 @@
         self.parent.map(|parent| parent.candidate)
     }
 
+    /// Returns when the current parent became the parent, if there is one.
+    pub fn parent_since(&self) -> Option<Duration> {
+        self.parent.map(|parent| parent.since)
+    }
+
+    /// Returns why the current parent became the parent, or else why one is searched for.
+    pub fn change_reason(&self) -> ParentChangeReason {
+        self.parent.map_or(self.search_reason, |parent| parent.reason)
+    }
+
     /// Returns when the search for a parent began, or `None` if there is a parent whose revision has not stalled.
     pub fn searching_since(&self) -> Option<Duration> {
         match self.state {
@@ -167,7 +195,12 @@
         if let Some(old) = self.parent.take() {
             actions.push(Action::Close(old.candidate));
         }
-        self.parent = Some(Parent { candidate, since: now, stall_timeout: self.stall_timeout(candidate) });
+        let reason = match self.state {
+            SearchState::Attached { .. } => ParentChangeReason::BetterCandidate,
+            SearchState::Searching { .. } => self.search_reason,
+        };
+        let stall_timeout = self.stall_timeout(candidate);
+        self.parent = Some(Parent { candidate, since: now, reason, stall_timeout });
         self.keep_parent(now, actions);
     }
 
@@ -180,7 +213,7 @@
             self.parent = None;
             self.penalties.add(now, candidate);
             let next_connect = now + self.jitter(MIN_BACKOFF);
-            self.start_search(now, next_connect);
+            self.start_search(now, next_connect, ParentChangeReason::Lost);
         }
     }
 
@@ -208,7 +241,7 @@
         if matches!(self.state, SearchState::Attached { .. }) && now >= self.deadline() {
             let stalled = self.parent.map(|parent| parent.candidate);
             stalled.into_iter().for_each(|parent| self.penalties.add(now, parent));
-            self.start_search(now, now);
+            self.start_search(now, now, ParentChangeReason::Stalled);
         }
         match self.state {
             SearchState::Searching { since, next_connect } if now >= next_connect => {
@@ -263,7 +296,8 @@
         self.change_state(SearchState::Attached { next_review });
     }
 
-    fn start_search(&mut self, now: Duration, next_connect: Duration) {
+    fn start_search(&mut self, now: Duration, next_connect: Duration, reason: ParentChangeReason) {
+        self.search_reason = reason;
         let since = self.searching_since().unwrap_or(now);
         self.change_state(SearchState::Searching { since, next_connect });
     }
--- a/crates/quillpulley/src/lib.rs
+++ b/crates/quillpulley/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod buffer_budget;
 pub mod control;
 mod error;
+pub mod lag;
 pub mod peer;
 pub mod proxy;
 pub mod runtime;
--- a/crates/quillpulley/src/proxy/config/updates.rs
+++ b/crates/quillpulley/src/proxy/config/updates.rs
@@ -1,5 +1,6 @@
 //! Applies changes of the published state to the state that all requests share.
 
+use crate::proxy::config::pending_config::PendingReason;
 use crate::proxy::state::ProxyState;
 use quillpulley_load_balancer::ProxyPeer;
 use quillpulley_protocol::{
@@ -58,20 +59,33 @@
     let version = match decode_value::<ConfigHeadRef<'_>, ConfigHead>(head) {
         Ok(head) => head.version,
         Err(error) => {
-            return log::error!(error:% = error; "the head of the published configuration cannot be decoded")
+            log::error!(error:% = error; "the head of the published configuration cannot be decoded");
+            return state.pending_config.set(state.now(), None, PendingReason::Undecodable(error));
         }
     };
     if state.config.version().is_some_and(|current| version <= current) {
-        return;
+        return state.pending_config.clear();
     }
     let routes = store.with_prefix(ROUTE_PREFIX).map(|(_, value)| value);
     match Configuration::from_items(head, routes) {
-        Ok(configuration) => state.activate(configuration),
+        Ok(configuration) => {
+            state.activate(configuration);
+            state.pending_config.clear();
+        }
+        Err(error) => {
+            log_unusable(version, &error);
+            state.pending_config.set(state.now(), Some(version), PendingReason::Unusable(error));
+        }
+    }
+}
+
+fn log_unusable(version: u64, error: &ConfigurationError) {
+    match error {
         // The missing routes arrive with a later update.
-        Err(error @ ConfigurationError::Incomplete { .. }) => {
+        ConfigurationError::Incomplete { .. } => {
             log::debug!(version, error:% = error; "the published configuration is incomplete");
         }
-        Err(error) => log::error!(version, error:% = error; "the published configuration is invalid"),
+        _ => log::error!(version, error:% = error; "the published configuration is invalid"),
     }
 }
 
--- a/crates/quillpulley/src/proxy/state.rs
+++ b/crates/quillpulley/src/proxy/state.rs
@@ -3,6 +3,7 @@
 use crate::buffer_budget::BufferBudget;
 use crate::proxy::admission::Admission;
 use crate::proxy::config::active_config::{ActiveConfig, ActiveConfigCell};
+use crate::proxy::config::pending_config::PendingConfigCell;
 use crate::proxy::downstream::home_demand::HomeDemandCell;
 use crate::proxy::downstream::open_requests::OpenRequests;
 use crate::proxy::faults::Faults;
@@ -53,6 +54,8 @@
     pub retry_budgets: SharedRetryBudgets,
     /// The active configuration; empty until one is received.
     pub config: ActiveConfigCell,
+    /// The published configuration that could not be activated, if there is one.
+    pub pending_config: PendingConfigCell,
     /// The requests that have no complete response yet.
     pub open_requests: Rc<OpenRequests>,
     /// Whether the proxy is starting, ready or draining.
@@ -76,6 +79,7 @@
             upstreams,
             retry_budgets: SharedRetryBudgets::new(budgets),
             config: ActiveConfigCell::default(),
+            pending_config: PendingConfigCell::default(),
             open_requests: Rc::default(),
             lifecycle: ProxyLifecycle::default(),
             home_demand: HomeDemandCell::new(region),
--- a/crates/quillpulley/src/proxy/sync/sync_client.rs
+++ b/crates/quillpulley/src/proxy/sync/sync_client.rs
@@ -5,6 +5,7 @@
 use crate::peer::{LinkId, PeerEvent, Peers};
 use crate::proxy::config::updates;
 use crate::proxy::state::ProxyState;
+use crate::proxy::sync::staleness::Staleness;
 use crate::proxy::sync::usage;
 use crate::Settings;
 use quillpulley_protocol::{Body, EndpointState, Hello, NodeId, PeerKind, ProxyEndpoint};
@@ -23,7 +24,7 @@
 
 /// The state of the link to the agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AgentLink {
+pub(super) enum AgentLink {
     /// There is no link. The next connection attempt is due at `retry_at`.
     Down { retry_at: Instant },
     /// The link is being established.
@@ -33,17 +34,19 @@
 }
 
 /// The type of child links. A proxy has none, as it is a leaf of the relay tree.
-type NoChild = u8;
+pub(super) type NoChild = u8;
 
 /// The proxy's node of the relay tree, with its link to the agent.
 pub struct SyncClient {
-    state: Rc<ProxyState>,
+    pub(super) state: Rc<ProxyState>,
     endpoint: ProxyEndpoint,
     agent_address: SocketAddr,
     peers: Rc<Peers>,
     events: UnboundedReceiver<PeerEvent>,
-    link: AgentLink,
-    node: SyncNode<NoChild>,
+    pub(super) link: AgentLink,
+    pub(super) node: SyncNode<NoChild>,
+    /// Follows the age of the published state, for the log.
+    pub(super) staleness: Staleness,
     /// The latest report.
     last_report: LocalReport,
     next_report_at: Instant,
@@ -63,6 +66,7 @@
             events,
             link: AgentLink::Down { retry_at: Instant::now() },
             node: SyncNode::new(Options::new(&settings.node_name)),
+            staleness: Staleness::default(),
             last_report: LocalReport::default(),
             next_report_at: Instant::now(),
             urgent_report: Rc::default(),
@@ -152,6 +156,7 @@
         if self.node.is_fresh(self.state.now()) {
             self.state.record_fresh();
         }
+        self.report_staleness();
         if self.next_report_at <= Instant::now() || self.lifecycle_changed() {
             self.next_report_at = Instant::now() + REPORT_INTERVAL;
             self.report();
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -61,6 +61,20 @@
     }
 }
 
+/// Runs the events of a timeline, whose columns are the time in milliseconds, the event, and the expected reason for the
+/// latest change of the parent.
+fn run_reason_timeline(timeline: &str) {
+    let mut parent_search = ParentSearch::new(1);
+    for line in timeline.lines().map(str::trim).filter(|line| !line.is_empty()) {
+        let [time, event_text, expected] = line.split('|').map(str::trim).collect::<Vec<_>>()[..] else {
+            panic!("a line must have three columns: {line}");
+        };
+        let now = Duration::from_millis(time.parse().expect("milliseconds"));
+        parent_search.handle(now, event(event_text), &mut Vec::new());
+        assert_eq!(parent_search.change_reason().to_string(), expected, "{line}");
+    }
+}
+
 #[test]
 fn the_best_candidate_becomes_the_parent_when_its_link_opens() {
     run_timeline(
@@ -291,3 +305,26 @@
         true
     }
 }
+
+#[test]
+fn the_reason_for_each_change_of_the_parent_is_known() {
+    run_reason_timeline(
+        "
+            0 | candidates A1 A2 C1 | first parent
+           10 | opened A1           | first parent
+          200 | lost A1             | the link to the previous parent closed
+          250 |                     | the link to the previous parent closed
+          260 | opened A2           | the link to the previous parent closed
+          300 | advanced            | the link to the previous parent closed
+         1900 |                     | the link to the previous parent closed
+         1910 | opened C1           | the revision stalled
+         1920 | advanced            | the revision stalled
+         2800 | advanced            | the revision stalled
+         3700 | advanced            | the revision stalled
+         4600 | advanced            | the revision stalled
+         5500 | advanced            | the revision stalled
+         5700 |                     | the revision stalled
+         5710 | opened A1           | better candidate
+        ",
+    );
+}
--- a/crates/state-sync/src/node.rs
+++ b/crates/state-sync/src/node.rs
@@ -4,6 +4,7 @@
 use crate::children::{ChildState, Children};
 use crate::options::Options;
 use crate::store::{Change, ChangedKey, Store};
+use crate::subscription_progress::{SubscriptionProgress, SubscriptionTimer};
 use crate::subtree::{LocalReport, SubtreeState};
 use crate::totals::{Totals, TotalsState};
 use quillpulley_protocol::{Body, Revision};
@@ -95,6 +96,7 @@
     pub(crate) advanced_at: Option<Duration>,
     /// Since when the state has been fresh without interruption; only meaningful while it is fresh.
     pub(crate) fresh_since: Duration,
+    pub(crate) subscription_timer: SubscriptionTimer,
     pub(crate) children: Children<Child>,
     /// Bytes of items that may still be sent in responses in this interval. Negative after a response that
     /// exceeded the limit.
@@ -128,6 +130,7 @@
             digest_mismatch: false,
             advanced_at: None,
             fresh_since: Duration::ZERO,
+            subscription_timer: SubscriptionTimer::default(),
             children: Children::new(),
             repair_interval_began_at: Duration::ZERO,
             aggregate: Aggregate::new(),
@@ -187,6 +190,16 @@
         self.advanced_at
     }
 
+    /// Returns the progress of the subscription to the present parent.
+    pub fn subscription_progress(&self, now: Duration) -> SubscriptionProgress {
+        self.subscription_timer.progress(now)
+    }
+
+    /// Returns the number of children whose subscription has no response yet.
+    pub fn waiting_children(&self) -> usize {
+        self.children.values().filter(|child| child.subscription().is_some()).count()
+    }
+
     /// Returns the totals received from the parent, or else the sums over this subtree.
     pub fn totals(&self) -> &Totals {
         self.totals.current()
@@ -221,6 +234,7 @@
             return;
         }
         self.totals.reset_parent();
+        self.subscription_timer.reset();
         self.subscribe(now, actions);
         self.send_full_report(now, actions);
     }
@@ -230,6 +244,7 @@
             return;
         }
         self.totals.reset_parent();
+        self.subscription_timer.reset();
         self.role = Role::Orphan;
     }
 
--- a/crates/state-sync/src/updates.rs
+++ b/crates/state-sync/src/updates.rs
@@ -31,6 +31,7 @@
 impl<Child: Copy + Eq + Hash + Ord> SyncNode<Child> {
     pub(crate) fn subscribe(&mut self, now: Duration, actions: &mut Vec<Action<Child>>) {
         self.role = Role::Subscribing { at: now };
+        self.subscription_timer.sent(now);
         let digests = self.store.digests().to_vec();
         let subscribe = Subscribe { revision: self.revision, digests };
         actions.push(Action::SendParent(Body::Subscribe(Box::new(subscribe))));
@@ -72,6 +73,7 @@
             return;
         }
         self.role = Role::Following;
+        self.subscription_timer.answered(now, item_bytes(&repair.items));
         if repair.revision <= self.revision {
             return;
         }
@@ -186,8 +188,7 @@
         actions: &mut Vec<Action<Child>>,
     ) {
         let items = self.store.items_in_ranges(&ranges);
-        let bytes: usize = items.iter().map(|item| item.key.len() + item.value.len()).sum();
-        self.remaining_repair_bytes -= signed_byte_count(bytes);
+        self.remaining_repair_bytes -= signed_byte_count(item_bytes(&items));
         let mut update = self.update(UpdateKind::RangeRepair, base, items);
         update.complete = ranges;
         if let Some(state) = self.children.get_mut(child) {
@@ -222,4 +223,9 @@
     }
 }
 
+/// Returns the size of the keys and values of items.
+fn item_bytes(items: &[Item]) -> usize {
+    items.iter().map(|item| item.key.len() + item.value.len()).sum()
+}
+
 const _: () = assert!(RANGE_COUNT <= u8::MAX as usize);
