--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -11,6 +11,7 @@
 
 mod penalties;
 
+use displaydoc::Display;
 use penalties::Penalties;
 use quillpulley_state_sync::parent_selection::ParentCandidate;
 use std::time::Duration;
@@ -70,6 +71,21 @@
     Close(ParentCandidate),
 }
 
+/// Why a process became the parent.
+#[derive(Copy, Clone, Debug, Display, PartialEq, Eq)]
+pub enum ParentChangeReason {
+    /// first parent
+    First,
+    /// the link to the previous parent closed
+    Lost,
+    /// the revision stalled
+    Stalled,
+    /// better candidate
+    BetterCandidate,
+    /// former parent, as the revision did not advance with a better candidate
+    FailedTrial,
+}
+
 /// Whether the search has a working parent.
 #[derive(Copy, Clone, Debug, PartialEq, Eq)]
 enum SearchState {
@@ -88,6 +104,7 @@
 struct Parent {
     candidate: ParentCandidate,
     since: Duration,
+    reason: ParentChangeReason,
     stall_timeout: Duration,
 }
 
@@ -98,6 +115,8 @@
     /// The candidates to which a connection attempt is in progress.
     attempts: Vec<ParentCandidate>,
     parent: Option<Parent>,
+    /// Why the latest search began.
+    search_reason: ParentChangeReason,
     revision_advanced_at: Duration,
     /// The number of connection attempts that have failed since one last succeeded.
     failures: u32,
@@ -114,6 +133,7 @@
             candidates: Vec::new(),
             attempts: Vec::new(),
             parent: None,
+            search_reason: ParentChangeReason::First,
             revision_advanced_at: Duration::ZERO,
             failures: 0,
             penalties: Penalties::default(),
@@ -148,6 +168,16 @@
         self.parent.map(|parent| parent.candidate)
     }
 
+    /// Returns when the current parent became the parent, if there is one.
+    pub fn parent_since(&self) -> Option<Duration> {
+        self.parent.map(|parent| parent.since)
+    }
+
+    /// Returns why the current parent became the parent, or else why one is searched for.
+    pub fn change_reason(&self) -> ParentChangeReason {
+        self.parent.map_or(self.search_reason, |parent| parent.reason)
+    }
+
     /// Returns when the search for a parent began, or `None` if there is a parent whose revision has not stalled.
     pub fn searching_since(&self) -> Option<Duration> {
         match self.state {
@@ -181,7 +211,7 @@
 
     fn switch_to(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
         let former = self.parent();
-        self.use_candidate(now, candidate, actions);
+        self.use_candidate(now, candidate, self.search_reason, actions);
         actions.extend(former.map(Action::Close));
         self.keep_parent(now, actions);
     }
@@ -193,7 +223,7 @@
         former: ParentCandidate,
         actions: &mut Vec<Action>,
     ) {
-        self.use_candidate(now, candidate, actions);
+        self.use_candidate(now, candidate, ParentChangeReason::BetterCandidate, actions);
         self.change_state(SearchState::Trial { former, ends_at: now + TRIAL_TIMEOUT });
     }
 
@@ -201,14 +231,21 @@
     fn return_to(&mut self, now: Duration, former: ParentCandidate, actions: &mut Vec<Action>) {
         let failed = self.parent();
         failed.into_iter().for_each(|failed| self.penalties.add(now, failed));
-        self.use_candidate(now, former, actions);
+        self.use_candidate(now, former, ParentChangeReason::FailedTrial, actions);
         actions.extend(failed.map(Action::Close));
         self.keep_parent(now, actions);
     }
 
-    fn use_candidate(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
+    fn use_candidate(
+        &mut self,
+        now: Duration,
+        candidate: ParentCandidate,
+        reason: ParentChangeReason,
+        actions: &mut Vec<Action>,
+    ) {
         actions.push(Action::Use(candidate));
-        self.parent = Some(Parent { candidate, since: now, stall_timeout: self.stall_timeout(candidate) });
+        let stall_timeout = self.stall_timeout(candidate);
+        self.parent = Some(Parent { candidate, since: now, reason, stall_timeout });
     }
 
     fn link_lost(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
@@ -231,7 +268,7 @@
             self.return_to(now, former, actions);
         } else {
             let next_connect = now + self.jitter(MIN_BACKOFF);
-            self.start_search(now, next_connect);
+            self.start_search(now, next_connect, ParentChangeReason::Lost);
         }
     }
 
@@ -264,7 +301,7 @@
         if matches!(self.state, SearchState::Attached { .. }) && now >= self.deadline() {
             let stalled = self.parent.map(|parent| parent.candidate);
             stalled.into_iter().for_each(|parent| self.penalties.add(now, parent));
-            self.start_search(now, now);
+            self.start_search(now, now, ParentChangeReason::Stalled);
         }
         match self.state {
             SearchState::Searching { since, next_connect } if now >= next_connect => {
@@ -324,7 +361,8 @@
         self.change_state(SearchState::Attached { next_review });
     }
 
-    fn start_search(&mut self, now: Duration, next_connect: Duration) {
+    fn start_search(&mut self, now: Duration, next_connect: Duration, reason: ParentChangeReason) {
+        self.search_reason = reason;
         let since = self.searching_since().unwrap_or(now);
         self.change_state(SearchState::Searching { since, next_connect });
     }
--- a/crates/state-sync/src/node.rs
+++ b/crates/state-sync/src/node.rs
@@ -5,6 +5,7 @@
 use crate::history::ChangeHistory;
 use crate::options::Options;
 use crate::store::{Change, ChangedKey, Store};
+use crate::subscription_progress::{SubscriptionProgress, SubscriptionTimer};
 use crate::subtree::{LocalReport, SubtreeState};
 use crate::totals::{Totals, TotalsState};
 use quillpulley_protocol::{Body, Revision};
@@ -97,6 +98,7 @@
     pub(crate) advanced_at: Option<Duration>,
     /// Since when the state has been fresh without interruption; only meaningful while it is fresh.
     pub(crate) fresh_since: Duration,
+    pub(crate) subscription_timer: SubscriptionTimer,
     pub(crate) children: Children<Child>,
     /// Bytes that responses are still expected to take on the link in this interval. Negative after a response that
     /// exceeded the limit.
@@ -131,6 +133,7 @@
             digest_mismatch: false,
             advanced_at: None,
             fresh_since: Duration::ZERO,
+            subscription_timer: SubscriptionTimer::default(),
             children: Children::new(),
             repair_interval_began_at: Duration::ZERO,
             aggregate: Aggregate::new(),
@@ -190,6 +193,16 @@
         self.advanced_at
     }
 
+    /// Returns the progress of the subscription to the present parent.
+    pub fn subscription_progress(&self, now: Duration) -> SubscriptionProgress {
+        self.subscription_timer.progress(now)
+    }
+
+    /// Returns the number of children whose subscription has no response yet.
+    pub fn waiting_children(&self) -> usize {
+        self.children.values().filter(|child| child.subscription().is_some()).count()
+    }
+
     /// Returns the totals received from the parent, or else the sums over this subtree.
     pub fn totals(&self) -> &Totals {
         self.totals.current()
@@ -224,6 +237,7 @@
             return;
         }
         self.totals.reset_parent();
+        self.subscription_timer.reset();
         self.subscribe(now, actions);
         self.send_full_report(now, actions);
     }
@@ -233,6 +247,7 @@
             return;
         }
         self.totals.reset_parent();
+        self.subscription_timer.reset();
         self.role = Role::Orphan;
     }
 
--- a/crates/state-sync/src/updates.rs
+++ b/crates/state-sync/src/updates.rs
@@ -35,6 +35,7 @@
 impl<Child: Copy + Eq + Hash + Ord> SyncNode<Child> {
     pub(crate) fn subscribe(&mut self, now: Duration, actions: &mut Vec<Action<Child>>) {
         self.role = Role::Subscribing { at: now };
+        self.subscription_timer.sent(now);
         let digests = self.store.digests().to_vec();
         let subscribe = Subscribe { revision: self.revision, digests };
         actions.push(Action::SendParent(Body::Subscribe(Box::new(subscribe))));
@@ -82,6 +83,7 @@
             return;
         }
         self.role = Role::Following;
+        self.subscription_timer.answered(now, item_bytes(&repair.items));
         if repair.revision <= self.revision {
             return;
         }
@@ -236,8 +238,7 @@
     }
 
     fn send_repair(&mut self, child: Child, repair: Update, actions: &mut Vec<Action<Child>>) {
-        let bytes: usize = repair.items.iter().map(|item| item.key.len() + item.value.len()).sum();
-        self.remaining_repair_bytes -= signed_byte_count(expected_link_bytes(bytes));
+        self.remaining_repair_bytes -= signed_byte_count(expected_link_bytes(item_bytes(&repair.items)));
         if let Some(state) = self.children.get_mut(child) {
             state.set_phase(Phase::Following);
         }
@@ -270,4 +271,9 @@
     }
 }
 
+/// Returns the size of the keys and values of items.
+fn item_bytes(items: &[Item]) -> usize {
+    items.iter().map(|item| item.key.len() + item.value.len()).sum()
+}
+
 const _: () = assert!(RANGE_COUNT <= u8::MAX as usize);
