A subscription whose response is late is not answered twice

Cause: an agent or proxy whose subscription had no response for a second sent it again on the same link. A loaded parent then sent the state twice, and sent no updates between the two responses, so that the child noticed a gap and subscribed a third time.

Change: on links on which a response cannot be lost while they stay open, those of agents and proxies, the subscription is sent again after 5 s. The search for a parent leaves one that does not respond long before. Control nodes, which drop what they cannot send, keep 1 s.

Two tests of the subscription's progress use a control node's options, as they play its second attempt after 1 s.

--- a/crates/state-sync/src/options.rs
+++ b/crates/state-sync/src/options.rs
@@ -37,7 +37,8 @@
     pub repair_interval: Duration,
     /// The state is stale if the revision has not advanced for longer than this time.
     pub fresh_for: Duration,
-    /// A subscription without a response is sent again after this time.
+    /// A subscription without a response is sent again after this time. It has to be short only where a response may be
+    /// lost while the link stays open: a response that is merely late would be sent twice.
     pub resubscribe_after: Duration,
     /// Minimum time between two reports to the parent, and between two frames of own totals to the children.
     pub report_interval: Duration,
@@ -61,7 +62,7 @@
             repair_bytes: repair_bytes(DEFAULT_LINK_MBPS),
             repair_interval: REPAIR_INTERVAL,
             fresh_for: Duration::from_secs(1),
-            resubscribe_after: Duration::from_secs(1),
+            resubscribe_after: Duration::from_secs(5),
             report_interval: Duration::from_millis(250),
             keep_alive: Duration::from_millis(500),
             receive_timeout: Duration::from_millis(1500),
@@ -79,7 +80,7 @@
     /// Returns the default options of a control node, whose children include the top-ranked agents of many
     /// zones.
     pub fn control_node(name: &str) -> Self {
-        Options { max_children: 256, ..Options::new(name) }
+        Options { max_children: 256, resubscribe_after: Duration::from_secs(1), ..Options::new(name) }
     }
 }
 
--- a/crates/state-sync/tests/change_history.rs
+++ b/crates/state-sync/tests/change_history.rs
@@ -146,3 +146,24 @@
     let without_state = (0..CHILDREN).filter(|child| network.items(child + 2).is_empty()).count();
     assert_eq!(without_state, 0);
 }
+
+/// Guards against parents that send the same state twice: the children of an agent that responds late subscribed again
+/// after a second, and were sent no update until the second response.
+#[test]
+fn a_child_whose_parent_responds_late_is_sent_its_state_once() {
+    let names = ["root", "relay", "child"];
+    let mut network = Network::new(
+        names.map(|name| Options { repair_bytes: 10 * ITEMS * ITEM_BYTES, ..Options::new(name) }),
+    );
+    network.handle(ROOT, Event::BecomeRoot { epoch: 1 });
+    network.publish(ROOT, items(0..ITEMS, 1));
+    network.connect(RELAY, ROOT);
+    network.deliver_all();
+    network.frozen[RELAY] = true;
+    network.connect(2, RELAY);
+    network.run_until(Duration::from_millis(1_300));
+    network.frozen[RELAY] = false;
+    network.deliver_all();
+    assert_eq!(network.items(2).len(), ITEMS);
+    assert_eq!(network.stats[RELAY].items_sent, ITEMS);
+}
--- a/crates/state-sync/tests/subscription_progress.rs
+++ b/crates/state-sync/tests/subscription_progress.rs
@@ -31,7 +31,7 @@
 
 #[test]
 fn the_wait_for_a_response_counts_from_the_first_attempt() {
-    let mut node = SyncNode::new(Options::new("agent"));
+    let mut node = SyncNode::new(Options::control_node("node"));
     assert_eq!(node.subscription_progress(at(0)), SubscriptionProgress::None);
     handle(&mut node, 100, Event::ParentUp);
     handle(&mut node, 1_100, Event::Tick);
@@ -50,7 +50,7 @@
 
 #[test]
 fn the_progress_starts_anew_with_each_parent() {
-    let mut node = SyncNode::new(Options::new("agent"));
+    let mut node = SyncNode::new(Options::control_node("node"));
     handle(&mut node, 100, Event::ParentUp);
     handle(&mut node, 1_100, Event::Tick);
     handle(&mut node, 1_200, Event::ParentUp);
