An agent without state rejects child agents that have state

Change: an agent that has no published state closes the link of a child agent whose subscription names a revision. The child returns to its former parent or tries the next candidate after a round trip, and not after a timeout. The proxy of the machine, which has no other parent, stays; so do agents without state.

Test: an_agent_without_state_rejects_a_child_agent_that_has_state fails on the former code (still open after 2 s).

--- a/crates/quillpulley/src/agent/host/links.rs
+++ b/crates/quillpulley/src/agent/host/links.rs
@@ -6,7 +6,7 @@
 use crate::agent::parent_search;
 use crate::peer::{LinkId, PeerEvent};
 use log::{debug, info};
-use quillpulley_protocol::{Body, Hello, PeerKind};
+use quillpulley_protocol::{Body, Hello, PeerKind, Revision};
 use quillpulley_state_sync as state_sync;
 use std::net::SocketAddr;
 
@@ -61,6 +61,10 @@
         if self.parents.parent() == Some(link) {
             self.handle_sync(state_sync::Event::ParentFrame(body));
         } else if self.children.contains(link) {
+            if self.must_reject(link, &body) {
+                debug!(link:% = link; "child agent rejected, as it has published state and this agent has none");
+                return self.close_child(link);
+            }
             if let Body::Report(report) = &mut body {
                 if self.children.is_proxy(link) && self.local_state.take_endpoint(report) {
                     self.report_local();
@@ -70,6 +74,20 @@
         }
     }
 
+    /// Returns whether a child agent must look for another parent: it has published state, and this agent, which has just
+    /// started, has none. The proxy of the machine has no other parent.
+    fn must_reject(&self, child: LinkId, body: &Body) -> bool {
+        let has_state =
+            matches!(body, Body::Subscribe(subscribe) if subscribe.revision != Revision::default());
+        has_state && self.node.revision() == Revision::default() && !self.children.is_proxy(child)
+    }
+
+    fn close_child(&mut self, link: LinkId) {
+        self.remove_child(link);
+        self.handle_sync(state_sync::Event::ChildDown(link));
+        self.peers.close(link);
+    }
+
     fn link_closed(&mut self, link: LinkId) {
         if self.children.contains(link) {
             self.remove_child(link);
--- a/crates/quillpulley/tests/agent.rs
+++ b/crates/quillpulley/tests/agent.rs
@@ -7,16 +7,21 @@
 use quillpulley::agent::{serve, AgentSockets};
 use quillpulley::signals::ProcessSignal;
 use quillpulley::Settings;
-use quillpulley_protocol::{encode_frame, encode_value, Body, ControlNode, PeerKind, ProxyEndpoint};
+use quillpulley_protocol::{
+    encode_frame, encode_value, Body, ControlNode, PeerKind, ProxyEndpoint, Revision, Subscribe,
+};
 use quillpulley_serving_config::published::{control_node_key, endpoint_key};
+use quillpulley_state_sync::RANGE_COUNT;
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
 use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::timeout;
 
 /// The machines of one test. Their addresses are not used by any other test.
 struct Machines {
@@ -227,6 +232,28 @@
     });
 }
 
+/// Guards against configurations that are late because agents wait below one that has just started.
+#[test]
+fn an_agent_without_state_rejects_a_child_agent_that_has_state() {
+    run(async {
+        let machines = Machines::new();
+        let (port, [_silent]) = bind_same_port([machines.control_node(1)]).await;
+        let settings = machines.settings(1, port, &[machines.control_node(1)]);
+        let address = (settings.ip, settings.agent_port());
+        let _agent = Agent::start(settings).await;
+        let mut child = TcpStream::connect(address).await.expect("a connection");
+        let hello = Body::Hello(Box::new(hello(PeerKind::Agent, "front-2")));
+        let revision = Revision { epoch: 1, tick: 7 };
+        let subscribe = Body::Subscribe(Box::new(Subscribe { revision, digests: vec![0; RANGE_COUNT] }));
+        for message in [hello, subscribe] {
+            child.write_all(&encode_frame(message)).await.expect("the message is sent");
+        }
+        // A child that sends nothing is disconnected after 5 s.
+        let closed = timeout(Duration::from_secs(2), read_to_end(&mut child)).await;
+        assert!(closed.is_ok(), "the connection is still open");
+    });
+}
+
 #[test]
 fn a_draining_agent_serves_its_proxy_until_the_proxy_has_exited() {
     run(async {
