A stream ends when its client closes, also after it has sent more than its request

What callers saw: a client that had sent bytes beyond its request (a second request on the same connection) and then closed its connection during a stream left its request running: the server went on until TimeoutMs of the route, or until the second event after the close was written into a reset.

Cause: while a stream is forwarded, only hyper watches for the end of the client's input, and it does so only as long as it holds no unread input. Before the head of the answer the proxy watches the socket itself, whatever is unread.

Why it works: the body of the stream polls the same future as the time before the head (Socket::peer_closed), which the kernel's report of the closed direction makes ready regardless of unread bytes. The task that writes the answer is woken by it, and the body then ends the upstream request as at its deadline.

--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -173,7 +173,8 @@
                 // A stream checks its deadline only when it is polled, and it is not polled while the client
                 // does not read.
                 connection.set_write_deadline(deadline + WRITE_MARGIN);
-                let (head, stream) = EventStream::new(forwarding, *upstream, reservation);
+                let client = connection.socket().clone();
+                let (head, stream) = EventStream::new(forwarding, *upstream, reservation, client);
                 Ok(response::from_server(head, ResponseBody::Stream(Box::new(stream))))
             }
             Err(ForwardError::Local(response)) => Err(response),
--- a/crates/quillpulley/src/proxy/streaming/event_stream.rs
+++ b/crates/quillpulley/src/proxy/streaming/event_stream.rs
@@ -2,8 +2,8 @@
 //! server if the route allows it.
 //!
 //! Backpressure: data is read from the server only when the connection to the client polls for it, which it
-//! does until its write buffer is full. If the stream is dropped before its end, because the client has
-//! closed its connection, the connection to the server is closed.
+//! does until its write buffer is full. If the client closes its connection, the stream ends, and the
+//! connection to the server is closed.
 
 use crate::buffer_budget::BufferReservation;
 use crate::proxy::downstream::request::RequestContext;
@@ -15,9 +15,11 @@
 use displaydoc::Display;
 use hyper::body::{Body, Frame, Incoming};
 use hyper::http::response::Parts;
+use quillpulley_http1::Socket;
 use quillpulley_load_balancer::{FailureKind, Outcome};
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::time::{sleep_until, Sleep};
@@ -30,10 +32,13 @@
     Broken,
     /// the deadline passed before the stream was complete: raise TimeoutMs of the route if it is too short
     TimedOut,
+    /// the client closed its connection before the stream was complete
+    ClientClosed,
 }
 
 impl std::error::Error for StreamError {}
 
+type ClientClosed = Pin<Box<dyn Future<Output = ()>>>;
 type Resumption = Pin<Box<dyn Future<Output = (Box<Forwarding>, Result<UpstreamResponse, ForwardError>)>>>;
 
 /// The source of the events.
@@ -67,28 +72,38 @@
     /// Whether any data of the body was received from the current server.
     has_received_data: bool,
     deadline: Pin<Box<Sleep>>,
+    /// Is ready once the client has closed its connection. hyper does not notice that while input of the client
+    /// is unread.
+    client_closed: ClientClosed,
     /// The memory of the body of the request, which may be sent to another server.
     _reservation: BufferReservation,
 }
 
 impl EventStream {
-    /// Creates the head and the body of the response to the client. `reservation` is the memory of the body
-    /// of the request.
+    /// Creates the head and the body of the response to the client, whose connection is `client`. `reservation`
+    /// is the memory of the body of the request.
     pub fn new(
         mut forwarding: Box<Forwarding>,
         response: StreamingResponse,
         reservation: BufferReservation,
+        client: Rc<Socket>,
     ) -> (Parts, Self) {
         let RequestContext { request, decision } = forwarding.context();
         let is_resumable = decision.resumable && !forwarding.faults().stream_resumption();
         let splitter = is_resumable.then(|| EventSplitter::new(request.last_event_id()));
         let deadline = Box::pin(sleep_until(request.deadline));
         forwarding.response_begun();
+        let client_closed = Box::pin(async move { client.peer_closed().await });
         let (head, source) = Source::upstream(forwarding, response);
-        (
-            head,
-            EventStream { source, splitter, has_received_data: false, deadline, _reservation: reservation },
-        )
+        let stream = EventStream {
+            source,
+            splitter,
+            has_received_data: false,
+            deadline,
+            client_closed,
+            _reservation: reservation,
+        };
+        (head, stream)
     }
 
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, StreamError>>> {
@@ -96,6 +111,10 @@
             self.change_source(Source::Truncated);
             return Poll::Ready(Some(Err(StreamError::TimedOut)));
         }
+        if self.poll_client_closed(cx) {
+            self.change_source(Source::Truncated);
+            return Poll::Ready(Some(Err(StreamError::ClientClosed)));
+        }
         loop {
             match &mut self.source {
                 Source::Upstream(upstream) => {
@@ -119,6 +138,11 @@
         }
     }
 
+    /// Returns whether the client has closed its connection. Not polled again after that.
+    fn poll_client_closed(&mut self, cx: &mut Context<'_>) -> bool {
+        !matches!(self.source, Source::Truncated) && self.client_closed.as_mut().poll(cx).is_ready()
+    }
+
     /// Adds a chunk of the stream, and returns the data to forward now, if any.
     fn push(&mut self, data: Bytes) -> Option<Bytes> {
         if !self.has_received_data {
--- a/crates/quillpulley/tests/proxy/streams.rs
+++ b/crates/quillpulley/tests/proxy/streams.rs
@@ -2,7 +2,11 @@
 
 use crate::support::client::request;
 use crate::support::{configuration, route, run, Client, FakeServer, Proxy};
+use std::time::Duration;
+use tokio::time::timeout;
 
+/// Maximum time from the end of a client's connection until its request is cancelled at the server.
+const MAX_CANCEL_TIME: Duration = Duration::from_millis(500);
 const RESUMABLE: &str = "\"Resumable\":true,\"MaxAttempts\":3";
 
 /// Starts a proxy with two servers and two streaming routes: `/s/` is not resumable, `/r/` is.
@@ -86,6 +90,31 @@
     });
 }
 
+// Guards against servers that go on with a stream after its client has gone (GONE): hyper looks for the end of the
+// input only while nothing else has arrived.
+#[test]
+fn a_client_that_sends_more_and_disconnects_cancels_its_stream() {
+    run(async {
+        let (proxy, mut one, mut two) = start().await;
+        for path in ["/s/x", "/r/x"] {
+            let mut client = send_request(&proxy, path, "").await;
+            let mut call = next_call(&mut one, &mut two).await;
+            call.begin_stream().await;
+            call.write_chunk("id: 1\ndata: a\n\n").await;
+            client.read_head().await;
+            client.send(&request("GET /s/y", "id-2", "", "")).await;
+            call.write_chunk("id: 2\ndata: b\n\n").await;
+            for _ in 0..2 {
+                client.read_chunk().await;
+            }
+            drop(client);
+            let closed = timeout(MAX_CANCEL_TIME, call.wait_until_closed()).await;
+            assert!(closed.is_ok(), "the stream on {path} goes on at its server");
+            assert!(!one.has_call() && !two.has_call());
+        }
+    });
+}
+
 #[test]
 fn a_resumable_stream_is_resumed_at_another_server() {
     run(async {
