A stream without a length that ends within an event is not passed on as complete

What callers saw: a server may answer with a stream whose end only the end of the connection marks. One that stopped in the middle of an event, with an orderly close as the kernel makes it for a process that has died, was passed on as complete: a resumable stream was not resumed, any other ended with the last chunk of a complete answer.

Cause: only a reset was taken for a break of such a body.

Why it works: an event ends with a blank line, so a stream of events that ends elsewhere lacks something. Streams whose head tells where they end are judged by that alone, as before.

--- a/crates/quillpulley/src/proxy/streaming/event_splitter.rs
+++ b/crates/quillpulley/src/proxy/streaming/event_splitter.rs
@@ -18,7 +18,7 @@
 }
 
 /// Splits one stream, which may be sent by several servers in turn, into events.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct EventSplitter {
     buffer: BytesMut,
     /// The number of bytes at the start of the buffer that are known to contain no end of an event.
--- a/crates/quillpulley/src/proxy/streaming/event_stream.rs
+++ b/crates/quillpulley/src/proxy/streaming/event_stream.rs
@@ -8,6 +8,7 @@
 use crate::buffer_budget::BufferReservation;
 use crate::proxy::downstream::request::RequestContext;
 use crate::proxy::retry::forwarding::{ForwardError, Forwarding, StreamingResponse, UpstreamResponse};
+use crate::proxy::streaming::event_boundary::EventBoundary;
 use crate::proxy::streaming::event_splitter::{EventSplitter, Position};
 use crate::proxy::upstream::response_head;
 use crate::proxy::upstream::upstream_request::UpstreamRequest;
@@ -61,6 +62,16 @@
     /// How long the server keeps the connection open while it is idle. `None` if the server closes it after
     /// the response.
     keep_alive: Option<Duration>,
+    /// Whether the body received so far ends with a complete event. `None` if the head tells where the body ends.
+    boundary: Option<EventBoundary>,
+}
+
+impl UpstreamSource {
+    /// Returns whether a body that has ended was cut off: the connection is all that marks its end, and an event
+    /// is incomplete. A server whose process dies closes its connections in the same orderly way.
+    fn is_cut_off(&self) -> bool {
+        self.boundary.is_some_and(|boundary| boundary != EventBoundary::BetweenEvents)
+    }
 }
 
 /// The body of a streamed response.
@@ -125,6 +136,7 @@
                             }
                         }
                         Some(Err(_)) => self.handle_broken_connection(),
+                        None if upstream.is_cut_off() => self.handle_broken_connection(),
                         None => return Poll::Ready(self.handle_end().map(Ok)),
                     }
                 }
@@ -145,12 +157,13 @@
 
     /// Adds a chunk of the stream, and returns the data to forward now, if any.
     fn push(&mut self, data: Bytes) -> Option<Bytes> {
-        if !self.has_received_data {
-            self.has_received_data = true;
-            if let Source::Upstream(upstream) = &self.source {
+        if let Source::Upstream(upstream) = &mut self.source {
+            upstream.boundary = upstream.boundary.map(|boundary| boundary.after(&data));
+            if !self.has_received_data {
                 upstream.request.record_started();
             }
         }
+        self.has_received_data = true;
         match &mut self.splitter {
             Some(splitter) => splitter.push(&data),
             None => Some(data),
@@ -213,6 +226,7 @@
     fn upstream(forwarding: Box<Forwarding>, response: StreamingResponse) -> (Parts, Source) {
         let StreamingResponse { head, body, upstream_request } = response;
         let keep_alive = response_head::keep_alive(&head.headers);
+        let boundary = (!response_head::is_framed(&head.headers)).then(EventBoundary::default);
         (
             head,
             Source::Upstream(Box::new(UpstreamSource {
@@ -220,6 +234,7 @@
                 request: upstream_request,
                 body,
                 keep_alive,
+                boundary,
             })),
         )
     }
--- a/crates/quillpulley/src/proxy/upstream/response_head.rs
+++ b/crates/quillpulley/src/proxy/upstream/response_head.rs
@@ -66,7 +66,7 @@
 
 /// Returns whether the head tells where the body ends. Otherwise an orderly close of the connection ends the
 /// body, and a reset truncates it.
-fn is_framed(headers: &HeaderMap) -> bool {
+pub fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
--- a/crates/quillpulley/tests/proxy/streams.rs
+++ b/crates/quillpulley/tests/proxy/streams.rs
@@ -70,6 +70,34 @@
     });
 }
 
+// Guards against a stream that looks complete although its server stopped in the middle of an event (MIXED, ORDER).
+#[test]
+fn a_stream_without_a_length_that_ends_within_an_event_is_truncated() {
+    run(async {
+        let (proxy, mut one, mut two) = start().await;
+        for (last, is_complete) in
+            [("id: 2\ndata: b\n\n", true), ("id: 2\ndata: b\n", false), ("id: 2\nda", false)]
+        {
+            let mut client = send_request(&proxy, "/s/x", "").await;
+            let mut call = next_call(&mut one, &mut two).await;
+            let head =
+                "HTTP/1.1 200 OK\r\nQuillpulley-Response-Seal: seal\r\nQuillpulley-Request-Id: id-1\r\n\r\n";
+            call.write(&format!("{head}id: 1\ndata: a\n\n")).await;
+            client.read_head().await;
+            client.read_chunk().await;
+            call.write(last).await;
+            call.close();
+            let end = loop {
+                match client.try_read_chunk().await {
+                    Some(Some(_)) => {}
+                    end => break end,
+                }
+            };
+            assert_eq!(end.is_some(), is_complete, "{last:?}");
+        }
+    });
+}
+
 #[test]
 fn a_client_that_disconnects_cancels_its_request_at_the_server() {
     run(async {
--- a/crates/quillpulley/tests/proxy/support/script.rs
+++ b/crates/quillpulley/tests/proxy/support/script.rs
@@ -20,7 +20,7 @@
 //! | `stream` | writes the head of a chunked stream of events |
 //! | `event:N`, `partial:N`, `end` | writes event N, its beginning, or the last chunk of that stream |
 //! | `unframed-stream` | writes the head of a stream that extends to the end of the connection |
-//! | `raw:N` | writes event N of that stream |
+//! | `raw:N`, `raw-partial:N` | writes event N of that stream, or its beginning |
 //! | `until:head`, `until:N` | waits until the client has received the response head, or event N |
 //! | `reset`, `close` | closes the connection with a RST, or with a FIN |
 //! | `read-to-end` | reads until the proxy closes the connection; only the rest of the body may arrive |
@@ -296,6 +296,7 @@
             "event" => chunk(&event),
             "partial" => chunk(&event[..event.len() - 3]),
             "raw" => event,
+            "raw-partial" => event[..event.len() - 3].to_string(),
             "end" => "0\r\n\r\n".to_string(),
             _ => panic!("unknown step: {word}"),
         };
--- a/crates/quillpulley/tests/proxy_event_splitter.rs
+++ b/crates/quillpulley/tests/proxy_event_splitter.rs
@@ -1,7 +1,9 @@
-//! Tests of `EventSplitter`: a stream is split at the ends of events.
+//! Tests of `EventSplitter`, which splits a stream at the ends of events, and of `EventBoundary`, which tells whether
+//! a stream ends there.
 
 use bytes::Bytes;
 use quickcheck::{quickcheck, Arbitrary, Gen};
+use quillpulley::proxy::streaming::event_boundary::EventBoundary;
 use quillpulley::proxy::streaming::event_splitter::{EventSplitter, Position};
 
 /// A stream of up to seven events with increasing ids, and sorted byte offsets at which it is cut.
@@ -63,6 +65,17 @@
         forwarded == stream.text()
     }
 
+    /// Wherever the stream is cut, it ends with a complete event exactly if the splitter holds nothing back.
+    fn the_boundary_agrees_with_the_splitter(stream: CutStream) -> bool {
+        let mut splitter = EventSplitter::new(None);
+        let mut boundary = EventBoundary::default();
+        stream.pieces().iter().all(|piece| {
+            splitter.push(piece.as_bytes());
+            boundary = boundary.after(piece.as_bytes());
+            (boundary == EventBoundary::BetweenEvents) == splitter.clone().finish().is_none()
+        })
+    }
+
     /// If the stream breaks anywhere and is resumed after the last complete event, each event is forwarded
     /// once.
     fn a_stream_resumes_after_the_last_complete_event(stream: CutStream) -> bool {
