A raised limit of heads applies to connections that are already open

What callers saw: after a configuration with a larger MaxHeaderBytes was in force, a request with a head that it allows got 431 on a connection that had been accepted before, for as long as that connection lived. The same held for connections opened before a proxy knew its first configuration, if that allows more than 16 KiB.

Cause: the HTTP library takes its limit when a connection is accepted.

They close as all others that make room do: after the open answer, and never with a request unread. Where the limit stays or falls nothing is closed; a lower limit was checked for each request already.

--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -146,6 +146,11 @@
         self.close.notify_one();
     }
 
+    /// Returns the maximum size of the head of a request on this connection, in bytes.
+    pub(crate) fn max_header_bytes(&self) -> usize {
+        self.options.max_header_bytes
+    }
+
     /// Returns whether the complete head of a request has arrived.
     pub(crate) fn has_requested(&self) -> bool {
         self.has_requested.get()
--- a/crates/http1/src/server/manager.rs
+++ b/crates/http1/src/server/manager.rs
@@ -40,9 +40,16 @@
         })
     }
 
-    /// Sets the limits of new connections. Open connections keep the limits with which they were accepted.
+    /// Sets the limits of new connections. Open connections keep the limits with which they were accepted. Those
+    /// that accept only shorter heads are asked to close once no request is open.
     pub fn set_options(&self, options: ConnectionOptions) {
         self.options.set(options);
+        let connections = self.connections.borrow();
+        for connection in
+            connections.values().filter(|each| each.max_header_bytes() < options.max_header_bytes)
+        {
+            connection.request_close();
+        }
     }
 
     /// Accepts and serves connections for as long as the future is polled, which must be on a tokio
--- a/crates/quillpulley/tests/proxy/limits.rs
+++ b/crates/quillpulley/tests/proxy/limits.rs
@@ -2,6 +2,11 @@
 
 use crate::support::client::request;
 use crate::support::{configuration, route, run, FakeServer, Proxy};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Maximum time until a configuration is in force, as the users' target states it.
+const CONFIGURATION_TIME: Duration = Duration::from_millis(2_500);
 
 /// Starts a proxy with one server.
 async fn start() -> (Proxy, FakeServer) {
@@ -44,6 +49,25 @@
     });
 }
 
+// Guards against a 431 for a head that the configuration in force allows, on a connection that is older than it (DENIED).
+#[test]
+fn a_raised_limit_of_heads_applies_to_open_connections() {
+    run(async {
+        let (proxy, mut one) = start().await;
+        let mut kept = proxy.client().await;
+        assert_eq!(kept.fetch(&request("GET /none", "id-1", "", "")).await.status(), 404);
+        let raised = configuration(2, &[&route("a", "idempotent", "")]);
+        proxy.agent.publish_configuration(&raised.replace("16384", "32768"));
+        assert!(matches!(timeout(CONFIGURATION_TIME, kept.is_closed()).await, Ok(true)), "still open");
+
+        let long = format!("X-Long: {}\r\n", "x".repeat(17_000));
+        let mut client = proxy.client().await;
+        client.send(&request("GET /a/b", "id-2", &long, "")).await;
+        one.next_call().await.respond_ok("ok").await;
+        assert_eq!(client.read_response().await.status(), 200);
+    });
+}
+
 #[test]
 fn a_request_with_conflicting_body_lengths_closes_its_connection() {
     run(async {
