A page of the users' rules: the code that keeps each, the test that shows it

For each rule one line, with the same check of names as the pages of the architecture and of the control state (the two checks became functions of a page; their bounds are as before). One rule had no test of the proxy itself: shares_of_requests_follow_the_weights plays 300 requests of a split route.

--- a/crates/quillpulley/tests/documentation.rs
+++ b/crates/quillpulley/tests/documentation.rs
@@ -81,11 +81,11 @@
     }
 }
 
-#[test]
-fn functions_of_the_architecture_page_exist() {
-    let page = read_page("ARCHITECTURE.md");
+/// Checks that a page refers to at least `min_count` functions as `file::function`, and that all of them exist.
+fn assert_functions_exist(page: &str, min_count: usize) {
+    let page = read_page(page);
     let references: Vec<(&str, &str)> = quoted(&page).filter_map(|text| text.split_once(".rs::")).collect();
-    assert!(references.len() >= 40, "{} references", references.len());
+    assert!(references.len() >= min_count, "{} references", references.len());
     let is_missing = |(file, function): &&(&str, &str)| {
         let paths = BASE_DIRECTORIES.iter().map(|base| root().join(base).join(format!("{file}.rs")));
         let Some(path) = paths.into_iter().find(|path| path.is_file()) else { return true };
@@ -96,16 +96,16 @@
     assert!(missing.is_empty(), "{missing:#?}");
 }
 
-#[test]
-fn tests_of_the_control_state_page_exist() {
-    let page = read_page("CONTROL-STATE.md");
+/// Checks that a page names at least `min_count` tests, and that all of them exist.
+fn assert_tests_exist(page: &str, min_count: usize) {
+    let page = read_page(page);
     let files = source_files();
     let is_test = |text: &&str| {
         let is_name = text.chars().all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || "_:.".contains(c));
         is_name && text.matches('_').count() >= MIN_TEST_UNDERSCORES
     };
     let tests: Vec<&str> = quoted(&page).filter(is_test).collect();
-    assert!(tests.len() >= 60, "{} tests", tests.len());
+    assert!(tests.len() >= min_count, "{} tests", tests.len());
     let is_missing = |text: &&&str| {
         let (modules, test) = text.rsplit_once("::").unwrap_or(("", text));
         let belongs = |file: &&SourceFile| {
@@ -121,6 +121,22 @@
     assert!(missing.is_empty(), "{missing:#?}");
 }
 
+#[test]
+fn functions_of_the_architecture_page_exist() {
+    assert_functions_exist("ARCHITECTURE.md", 40);
+}
+
+#[test]
+fn tests_of_the_control_state_page_exist() {
+    assert_tests_exist("CONTROL-STATE.md", 60);
+}
+
+#[test]
+fn functions_and_tests_of_the_rules_page_exist() {
+    assert_functions_exist("RULES.md", 30);
+    assert_tests_exist("RULES.md", 35);
+}
+
 #[test]
 fn types_and_modules_of_the_glossary_exist() {
     let page = read_page("GLOSSARY.md");
--- a/crates/quillpulley/tests/proxy/routing.rs
+++ b/crates/quillpulley/tests/proxy/routing.rs
@@ -4,6 +4,11 @@
 use crate::support::client::request;
 use crate::support::{configuration, route, run, FakeServer, Proxy};
 
+/// Number of requests from which on the users' target looks at the shares of a split.
+const SPLIT_REQUESTS: u32 = 300;
+/// Maximum difference between the share of a service and that of its weight.
+const MAX_SHARE_ERROR: f64 = 0.2;
+
 #[test]
 fn the_longest_prefix_of_the_host_decides() {
     run(async {
@@ -28,6 +33,30 @@
     });
 }
 
+#[test]
+fn shares_of_requests_follow_the_weights() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let mut two = FakeServer::start("i-2", "two").await;
+        let split =
+            "\"TrafficSplit\":[{\"Service\":\"one\",\"Weight\":30},{\"Service\":\"two\",\"Weight\":10}]";
+        let configuration = configuration(1, &[&route("a", "idempotent", split)]);
+        let proxy = Proxy::start(&configuration, &[&one, &two]).await;
+        let mut client = proxy.client().await;
+        let mut by_two = 0;
+        for number in 0..SPLIT_REQUESTS {
+            client.send(&request("GET /a/b", &format!("id-{number}"), "", "")).await;
+            tokio::select! {
+                call = one.next_call() => call.respond_ok("one").await,
+                call = two.next_call() => { by_two += 1; call.respond_ok("two").await }
+            }
+            assert_eq!(client.read_response().await.status(), 200);
+        }
+        let share = f64::from(by_two) / f64::from(SPLIT_REQUESTS);
+        assert!((share - 0.25).abs() < MAX_SHARE_ERROR, "{share}");
+    });
+}
+
 #[test]
 fn a_request_is_forwarded_unchanged_but_for_hop_by_hop_headers() {
     run(async {
