--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -29,6 +29,8 @@
 pub const STREAM_PATH: &str = "/stream";
 /// The path of a stream that never ends.
 pub const ENDLESS_PATH: &str = "/endless";
+/// The path of a response that waits until the test releases it.
+pub const HELD_BACK_PATH: &str = "/held-back";
 /// Length of a chunk of a stream, in bytes.
 const STREAM_CHUNK_BYTES: usize = 8 * 1024;
 /// Size of the receive buffer of clients, in bytes.
@@ -159,8 +161,19 @@
     }
 }
 
-/// Responds to `GET /N` with N bytes, and to [`STREAM_PATH`] and [`ENDLESS_PATH`] with a stream.
+/// The request to [`HELD_BACK_PATH`] that is open.
+#[derive(Default)]
+pub struct HeldBack {
+    /// Notified when the request has been read.
+    pub received: Notify,
+    /// Notified by the test to have the request answered, with one byte.
+    pub released: Notify,
+}
+
+/// Responds to `GET /N` with N bytes, to [`STREAM_PATH`] and [`ENDLESS_PATH`] with a stream, and to
+/// [`HELD_BACK_PATH`] as [`HeldBack`] tells.
 struct ByteService {
+    held_back: Rc<HeldBack>,
     held: Rc<Held>,
     write_time: Option<Duration>,
     stream_ended: Rc<Notify>,
@@ -179,7 +192,13 @@
         if let Some(time) = self.write_time {
             connection.set_write_deadline(Instant::now() + time);
         }
+        connection.request_received();
         let path = request.uri().path();
+        if path == HELD_BACK_PATH {
+            self.held_back.received.notify_one();
+            self.held_back.released.notified().await;
+            return Response::new(LocalBody::new(Full::new(Bytes::from_static(b"x"))));
+        }
         if path == STREAM_PATH || path == ENDLESS_PATH {
             let ended = self.stream_ended.clone();
             let is_endless = path == ENDLESS_PATH;
@@ -200,6 +219,7 @@
     pub held: Rc<Held>,
     /// Notified when the body of a stream has ended.
     pub stream_ended: Rc<Notify>,
+    pub held_back: Rc<HeldBack>,
     address: SocketAddr,
 }
 
@@ -215,11 +235,16 @@
         let manager = ConnectionManager::new(options);
         let held = Rc::new(Held::default());
         let stream_ended = Rc::new(Notify::new());
-        let service =
-            Rc::new(ByteService { held: held.clone(), write_time, stream_ended: stream_ended.clone() });
+        let held_back = Rc::new(HeldBack::default());
+        let service = Rc::new(ByteService {
+            held_back: held_back.clone(),
+            held: held.clone(),
+            write_time,
+            stream_ended: stream_ended.clone(),
+        });
         let accepting = manager.clone();
         spawn_local(async move { accepting.accept(listener, service).await });
-        Listener { manager, held, stream_ended, address }
+        Listener { manager, held, stream_ended, held_back, address }
     }
 
     pub async fn connect(&self) -> Client {
