One function reads the bodies of requests, for clients and operators

The proxy's read_body and the operator API's collect were the same loop but for the time at which memory is reserved, and for their errors. Now request_body::read_body serves both: a ReservationPolicy says when the memory of an announced length is reserved, and each caller maps BodyError to its own responses. No behaviour changes. (The API no longer sets aside the announced length before the first byte has arrived.)

--- a/crates/quillpulley/src/control/api/request.rs
+++ b/crates/quillpulley/src/control/api/request.rs
@@ -3,8 +3,9 @@
 use crate::buffer_budget::{BufferBudget, BufferReservation};
 use crate::control::commands::Command;
 use crate::control::http::url;
+use crate::request_body::{read_body, BodyError, ReservationPolicy};
+use bytes::Bytes;
 use displaydoc::Display;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
@@ -71,6 +72,16 @@
     }
 }
 
+impl From<BodyError> for RequestError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => RequestError::BodyTooLong { limit: MAX_BODY_BYTES },
+            BodyError::OutOfMemory => RequestError::NoMemory,
+            BodyError::Incomplete => RequestError::Incomplete,
+        }
+    }
+}
+
 /// Reads a request, with its body if the operation has one, for which memory is reserved from `bodies`.
 pub(super) async fn read(
     request: Request<Incoming>,
@@ -113,7 +124,7 @@
 ) -> Result<Operation, RequestError> {
     let base = head.headers.get(BASE_VERSION_HEADER).and_then(|value| value.to_str().ok());
     let base = base.and_then(|value| value.trim().parse().ok());
-    let body = read_body(body, reservation).await?;
+    let body = read_limited(body, reservation).await?.into();
     let base = base.ok_or(RequestError::NoBaseVersion)?;
     Ok(Operation::Execute(Command::Replace { base, body }))
 }
@@ -128,35 +139,10 @@
 
 /// Reads a complete body in a time that depends on its announced length. A body that ends before that length is
 /// rejected.
-async fn read_body(body: Incoming, reservation: &mut BufferReservation) -> Result<Vec<u8>, RequestError> {
-    let size = body.size_hint();
-    if size.lower() > MAX_BODY_BYTES as u64 {
-        return Err(RequestError::BodyTooLong { limit: MAX_BODY_BYTES });
-    }
-    let announced = size.exact().unwrap_or(MAX_BODY_BYTES as u64);
+async fn read_limited(body: Incoming, reservation: &mut BufferReservation) -> Result<Bytes, RequestError> {
+    let announced = body.size_hint().exact().unwrap_or(MAX_BODY_BYTES as u64);
     let time = BODY_TIMEOUT + Duration::from_secs_f64(announced as f64 / SLOWEST_LINK_RATE);
-    let reading = collect(body, size.exact().unwrap_or(0) as usize, reservation);
-    timeout(time, reading).await.unwrap_or(Err(RequestError::BodyTimeout))
-}
-
-/// Reads a body to its end. Memory is reserved as it arrives, so that bodies that do not arrive take none.
-async fn collect(
-    mut body: Incoming,
-    announced: usize,
-    reservation: &mut BufferReservation,
-) -> Result<Vec<u8>, RequestError> {
-    let mut all = Vec::with_capacity(announced);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| RequestError::Incomplete)?;
-        let Ok(data) = frame.into_data() else { continue };
-        let length = all.len() + data.len();
-        if length > MAX_BODY_BYTES {
-            return Err(RequestError::BodyTooLong { limit: MAX_BODY_BYTES });
-        }
-        if !reservation.try_grow_to(length) {
-            return Err(RequestError::NoMemory);
-        }
-        all.extend_from_slice(&data);
-    }
-    Ok(all)
+    let reading = read_body(body, MAX_BODY_BYTES, ReservationPolicy::AsReceived, reservation);
+    let body = timeout(time, reading).await.map_err(|_| RequestError::BodyTimeout)?;
+    Ok(body?)
 }
--- a/crates/quillpulley/src/lib.rs
+++ b/crates/quillpulley/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 pub mod peer;
 pub mod proxy;
+mod request_body;
 pub mod runtime;
 mod settings;
 pub mod signals;
--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -9,13 +9,13 @@
 use crate::proxy::downstream::local_response::LocalResponse;
 use crate::proxy::downstream::open_requests::OpenRequest;
 use crate::proxy::downstream::request::{head_bytes, ClientRequest, RequestContext, RequestHead};
-use crate::proxy::downstream::request_body::read_body;
 use crate::proxy::downstream::response::{self, ClientResponse, ResponseBody};
 use crate::proxy::retry::forwarding::{ForwardError, Forwarding, UpstreamResponse};
 use crate::proxy::shutdown::lifecycle;
 use crate::proxy::state::ProxyState;
 use crate::proxy::streaming::event_stream::EventStream;
 use crate::proxy::upstream::upstream_request::BufferedBody;
+use crate::request_body::{read_body, BodyError, ReservationPolicy};
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
 use quillpulley_http1::{ServerConnection, Service};
@@ -34,6 +34,8 @@
 const DRAINING_RETRY_AFTER: Duration = Duration::ZERO;
 /// `Retry-After` for a request without a known route while the published state is stale.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` for a request whose body does not fit into the memory budget.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// How long after its deadline a response must have been written.
 const WRITE_MARGIN: Duration = Duration::from_millis(200);
 /// Minimum rate at which clients have to read complete responses after their deadline, in bytes per second.
@@ -105,9 +107,11 @@
         let RoutedHead { head, decision, deadline } =
             self.route(&config, head, arrived).map_err(without_reading_body)?;
         let mut reservation = self.state.upstreams.buffers().reservation();
-        let reading = read_body(body, limits.max_body_bytes as usize, &mut reservation);
+        let max_bytes = limits.max_body_bytes as usize;
+        let reading = read_body(body, max_bytes, ReservationPolicy::BeforeReading, &mut reservation);
         let body = timeout_at(deadline, reading).await;
-        let body = body.map_err(|_| LocalResponse::closing(StatusCode::REQUEST_TIMEOUT))??;
+        let body = body.map_err(|_| LocalResponse::closing(StatusCode::REQUEST_TIMEOUT))?;
+        let body = body.map_err(body_error_response)?;
         let open_request = self.open_request(&head)?;
         let request = ClientRequest::new(head, body, arrived, deadline);
         let context = RequestContext { request, decision };
@@ -214,6 +218,16 @@
     deadline.max(Instant::now()) + WRITE_MARGIN + read_time
 }
 
+/// Returns the response to a request whose body was not read. It closes the connection, as the rest of the body
+/// is not read either.
+fn body_error_response(error: BodyError) -> LocalResponse {
+    match error {
+        BodyError::TooLarge => LocalResponse::closing(StatusCode::PAYLOAD_TOO_LARGE),
+        BodyError::OutOfMemory => LocalResponse::unavailable(NO_MEMORY_RETRY_AFTER).closing_if(true),
+        BodyError::Incomplete => LocalResponse::closing(StatusCode::BAD_REQUEST),
+    }
+}
+
 /// Returns a placeholder response, which is never delivered because the client has closed its connection.
 fn client_closed_response() -> LocalResponse {
     LocalResponse::closing(StatusCode::BAD_GATEWAY)
--- a/crates/quillpulley/src/proxy/downstream/mod.rs
+++ b/crates/quillpulley/src/proxy/downstream/mod.rs
@@ -6,5 +6,4 @@
 pub mod open_requests;
 pub mod readiness;
 pub mod request;
-mod request_body;
 pub mod response;
