The write deadline of a complete response is computed by its connection

The proxy and the HTTP server of control nodes each computed a base time and the length at a minimum rate. ServerConnection::limit_write_time does it now, from a WriteLimit (base, min_rate); both name theirs in a constant. The limits stay as they were: 0.2 s and 32 KB/s from the deadline for clients, 10 s and 128 KB/s for operators. No behaviour changes.

Two tests more in http1 (the deadline grows with the length; a response that is read more slowly is cut). The listener of the tests takes a WriteLimit in place of a time; its two other tests use the same times.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,5 +11,5 @@
 mod socket;
 
 pub use client::{ClientConnection, ConnectionLimits, ResponseError};
-pub use server::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
+pub use server::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service, WriteLimit};
 pub use socket::{PeerWatch, Socket, SocketIo, WriteProgress};
--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -1,6 +1,6 @@
 //! An incoming connection, which serves requests until it closes.
 
-use super::options::{ConnectionOptions, Linger};
+use super::options::{ConnectionOptions, Linger, WriteLimit};
 use super::phase::{Event, Phase};
 use super::write_timer::WriteTimer;
 use crate::socket::{Socket, SocketIo};
@@ -122,6 +122,11 @@
         self.write_deadline.set(Some(deadline));
     }
 
+    /// Sets the write deadline of a complete response of `bytes` bytes. Its time begins at `start`.
+    pub fn limit_write_time(&self, start: Instant, limit: WriteLimit, bytes: usize) {
+        self.set_write_deadline(start + limit.time(bytes));
+    }
+
     /// Keeps `resource` until every byte of the current response was handed to the kernel, or the connection
     /// has ended. Called while a request is open.
     pub fn hold_until_written(&self, resource: impl Any) {
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -9,4 +9,4 @@
 
 pub use connection::{ServerConnection, Service};
 pub use manager::ConnectionManager;
-pub use options::{ConnectionOptions, Linger};
+pub use options::{ConnectionOptions, Linger, WriteLimit};
--- a/crates/http1/src/server/options.rs
+++ b/crates/http1/src/server/options.rs
@@ -12,6 +12,22 @@
     pub bytes: usize,
 }
 
+/// The limit on the time in which a client reads a complete response.
+#[derive(Clone, Copy, Debug)]
+pub struct WriteLimit {
+    /// The time for a response of any length.
+    pub base: Duration,
+    /// The minimum rate at which the client has to read, in bytes per second.
+    pub min_rate: f64,
+}
+
+impl WriteLimit {
+    /// Returns the time in which a response of `bytes` bytes has to be read.
+    pub(crate) fn time(&self, bytes: usize) -> Duration {
+        self.base + Duration::from_secs_f64(bytes as f64 / self.min_rate)
+    }
+}
+
 /// The limits of incoming connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionOptions {
--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -4,7 +4,9 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{Request, Response};
-use quillpulley_http1::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
+use quillpulley_http1::{
+    ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service, WriteLimit,
+};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
@@ -162,7 +164,7 @@
 /// Responds to `GET /N` with N bytes, and to [`STREAM_PATH`] and [`ENDLESS_PATH`] with a stream.
 struct ByteService {
     held: Rc<Held>,
-    write_time: Option<Duration>,
+    write_limit: Option<WriteLimit>,
     stream_ended: Rc<Notify>,
 }
 
@@ -176,9 +178,6 @@
         _: Option<Instant>,
     ) -> Response<Self::Body> {
         connection.hold_until_written(HeldResource::new(self.held.clone()));
-        if let Some(time) = self.write_time {
-            connection.set_write_deadline(Instant::now() + time);
-        }
         let path = request.uri().path();
         if path == STREAM_PATH || path == ENDLESS_PATH {
             let ended = self.stream_ended.clone();
@@ -186,6 +185,9 @@
             return Response::new(LocalBody::new(Stream { connection, ended, yields: false, is_endless }));
         }
         let length = path[1..].parse().expect("a length");
+        if let Some(limit) = self.write_limit {
+            connection.limit_write_time(Instant::now(), limit, length);
+        }
         Response::new(LocalBody::new(Full::new(Bytes::from(vec![b'x'; length]))))
     }
 
@@ -205,18 +207,21 @@
 
 impl Listener {
     pub async fn start(options: ConnectionOptions) -> Listener {
-        Listener::start_with_write_time(options, None).await
+        Listener::start_with_write_limit(options, None).await
     }
 
-    /// Starts a listener whose responses have to be written within `write_time`.
-    pub async fn start_with_write_time(options: ConnectionOptions, write_time: Option<Duration>) -> Listener {
+    /// Starts a listener whose complete responses have to be written within `write_limit`.
+    pub async fn start_with_write_limit(
+        options: ConnectionOptions,
+        write_limit: Option<WriteLimit>,
+    ) -> Listener {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("an address");
         let manager = ConnectionManager::new(options);
         let held = Rc::new(Held::default());
         let stream_ended = Rc::new(Notify::new());
         let service =
-            Rc::new(ByteService { held: held.clone(), write_time, stream_ended: stream_ended.clone() });
+            Rc::new(ByteService { held: held.clone(), write_limit, stream_ended: stream_ended.clone() });
         let accepting = manager.clone();
         spawn_local(async move { accepting.accept(listener, service).await });
         Listener { manager, held, stream_ended, address }
--- a/crates/http1/tests/server/unwritten_responses.rs
+++ b/crates/http1/tests/server/unwritten_responses.rs
@@ -3,7 +3,7 @@
 use crate::support::{
     patient_options, run, Listener, ENDLESS_PATH, LARGE_BODY_BYTES, STREAM_PATH, TEST_TIMEOUT,
 };
-use quillpulley_http1::{ConnectionOptions, Linger};
+use quillpulley_http1::{ConnectionOptions, Linger, WriteLimit};
 use std::time::Duration;
 use tokio::task::{spawn_local, yield_now};
 
@@ -126,8 +126,33 @@
 #[test]
 fn a_response_that_is_not_read_by_its_write_deadline_is_closed() {
     run(async {
-        let write_time = Some(Duration::from_millis(50));
-        let listener = Listener::start_with_write_time(patient_options(), write_time).await;
+        let limit = WriteLimit { base: Duration::from_millis(50), min_rate: f64::INFINITY };
+        let listener = Listener::start_with_write_limit(patient_options(), Some(limit)).await;
+        let mut client = listener.connect_with_unread_body().await;
+        listener.held.all_released().await;
+        assert!(client.read_body(LARGE_BODY_BYTES).await < LARGE_BODY_BYTES);
+    });
+}
+
+/// Guards against long responses that are cut although their clients read them at the minimum rate.
+#[test]
+fn the_write_deadline_of_a_response_depends_on_its_length() {
+    run(async {
+        let min_rate = LARGE_BODY_BYTES as f64 / TEST_TIMEOUT.as_secs_f64();
+        let limit = WriteLimit { base: Duration::ZERO, min_rate };
+        let listener = Listener::start_with_write_limit(patient_options(), Some(limit)).await;
+        let mut client = listener.connect_with_unread_body().await;
+        assert_eq!(client.read_body(LARGE_BODY_BYTES).await, LARGE_BODY_BYTES);
+    });
+}
+
+/// Guards against clients that read long responses more slowly than at the minimum rate.
+#[test]
+fn a_response_that_is_read_more_slowly_than_its_length_allows_is_closed() {
+    run(async {
+        let min_rate = LARGE_BODY_BYTES as f64 / 0.05;
+        let limit = WriteLimit { base: Duration::ZERO, min_rate };
+        let listener = Listener::start_with_write_limit(patient_options(), Some(limit)).await;
         let mut client = listener.connect_with_unread_body().await;
         listener.held.all_released().await;
         assert!(client.read_body(LARGE_BODY_BYTES).await < LARGE_BODY_BYTES);
@@ -137,7 +162,8 @@
 #[test]
 fn a_response_that_was_written_is_not_closed_at_its_write_deadline() {
     run(async {
-        let listener = Listener::start_with_write_time(patient_options(), Some(Duration::ZERO)).await;
+        let limit = WriteLimit { base: Duration::ZERO, min_rate: f64::INFINITY };
+        let listener = Listener::start_with_write_limit(patient_options(), Some(limit)).await;
         let mut client = listener.connect().await;
         for _ in 0..2 {
             client.request(10).await;
--- a/crates/quillpulley/src/control/http/mod.rs
+++ b/crates/quillpulley/src/control/http/mod.rs
@@ -13,7 +13,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use quillpulley_http1::{ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service};
+use quillpulley_http1::{
+    ConnectionManager, ConnectionOptions, Linger, ServerConnection, Service, WriteLimit,
+};
 use socket2::{SockRef, TcpKeepalive};
 use std::future::Future;
 use std::io;
@@ -30,10 +32,10 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(3);
 const KEEPALIVE_PROBES: u32 = 3;
-/// Maximum time in which a response is written to a caller that reads, besides [`MIN_READ_RATE`].
-const WRITE_TIME: Duration = Duration::from_secs(10);
-/// Minimum rate at which callers have to read responses, in bytes per second.
-const MIN_READ_RATE: f64 = 128.0 * 1024.0;
+/// Maximum time for which a caller reads nothing of its response.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time in which a response is written to a caller that reads.
+const WRITE_LIMIT: WriteLimit = WriteLimit { base: Duration::from_secs(10), min_rate: 128.0 * 1024.0 };
 
 /// The limits of the connections of a listener. A node has 4,096 descriptors, of which two listeners use half.
 pub const OPTIONS: ConnectionOptions = ConnectionOptions {
@@ -45,7 +47,7 @@
     idle_grace: Duration::from_millis(100),
     first_request_grace: Duration::from_millis(100),
     receive_grace: Some(Duration::from_millis(500)),
-    write_stall_timeout: WRITE_TIME,
+    write_stall_timeout: WRITE_STALL_TIMEOUT,
     write_stall_grace: Duration::from_millis(500),
     accept_retry_delay: Duration::from_millis(10),
     plain_heads: true,
@@ -122,8 +124,7 @@
     ) -> Response<Full<Bytes>> {
         let response = self.handler.clone().handle(request, &connection).await;
         connection.request_received();
-        let read_time = Duration::from_secs_f64(response.body_bytes() as f64 / MIN_READ_RATE);
-        connection.set_write_deadline(Instant::now() + WRITE_TIME + read_time);
+        connection.limit_write_time(Instant::now(), WRITE_LIMIT, response.body_bytes());
         response.into_http()
     }
 
--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -18,7 +18,7 @@
 use crate::request_body::{read_body, BodyError, ReservationPolicy};
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
-use quillpulley_http1::{ServerConnection, Service};
+use quillpulley_http1::{ServerConnection, Service, WriteLimit};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::pin;
@@ -38,8 +38,9 @@
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// How long after its deadline a response must have been written.
 const WRITE_MARGIN: Duration = Duration::from_millis(200);
-/// Minimum rate at which clients have to read complete responses after their deadline, in bytes per second.
-const MIN_READ_RATE: f64 = 32.0 * 1024.0;
+/// The limit on the time in which clients read complete responses after their deadline. It grows with their length,
+/// as the server has executed the request.
+const COMPLETE_WRITE_LIMIT: WriteLimit = WriteLimit { base: WRITE_MARGIN, min_rate: 32.0 * 1024.0 };
 /// Number of received bytes to record on a connection: one is enough to detect that a request has begun.
 pub const RECORDED_BYTES: usize = 1;
 
@@ -169,7 +170,8 @@
         let mut forwarding = Box::new(Forwarding::new(self.state.clone(), context));
         match forwarding.forward().await {
             Ok(UpstreamResponse::Complete(head, BufferedBody { bytes, reservation })) => {
-                connection.set_write_deadline(complete_write_deadline(deadline, bytes.len()));
+                let start = deadline.max(Instant::now());
+                connection.limit_write_time(start, COMPLETE_WRITE_LIMIT, bytes.len());
                 connection.hold_until_written(reservation);
                 Ok(response::from_server(head, ResponseBody::Complete(Some(bytes))))
             }
@@ -211,13 +213,6 @@
     }
 }
 
-/// Returns the time by which a complete response of `bytes` bytes has to be written. A client that reads it
-/// slowly may take longer than the deadline of its request, as the server has executed the request.
-fn complete_write_deadline(deadline: Instant, bytes: usize) -> Instant {
-    let read_time = Duration::from_secs_f64(bytes as f64 / MIN_READ_RATE);
-    deadline.max(Instant::now()) + WRITE_MARGIN + read_time
-}
-
 /// Returns the response to a request whose body was not read. It closes the connection, as the rest of the body
 /// is not read either.
 fn body_error_response(error: BodyError) -> LocalResponse {
