The HTTP server of control nodes doesn't end a phase that ends anyway

HttpService::respond called ServerConnection::request_received after the handler had made its response. hyper reads that response's body in the same poll, so the phase Receiving becomes Writing with or without the call, and nothing looks at the phase between: the call was dead. The trait asks only handlers that wait after they have read the request to make it (the operator API does, the directory waits for nothing). No behaviour changes.

--- a/crates/quillpulley/src/control/http/mod.rs
+++ b/crates/quillpulley/src/control/http/mod.rs
@@ -57,7 +57,8 @@
 /// Responds to the requests on all connections of a listener.
 pub trait Handler: 'static {
     /// Responds to a request. The response is checked and written without a delay once the future is ready.
-    /// Calls [`ServerConnection::request_received`] once the body has been read.
+    /// A handler that waits for something else after it has read the request calls
+    /// [`ServerConnection::request_received`] before: until then, the connection may be closed to make room.
     fn handle(
         self: Rc<Self>,
         request: Request<Incoming>,
@@ -123,7 +124,6 @@
         _: Option<Instant>,
     ) -> Response<Full<Bytes>> {
         let response = self.handler.clone().handle(request, &connection).await;
-        connection.request_received();
         connection.limit_write_time(Instant::now(), WRITE_LIMIT, response.body_bytes());
         response.into_http()
     }
