A request on an incoming connection reads the clock twice and boxes once

ServerConnection::handle read the clock for each of four events of a request; only the arrival of the head and the end of writing need a time. These events (and the start of lingering) carry it now, and Phase::after has no clock.

The proxy had two resources of a request held until the response was written, each in a box and in a list that was freed after each response. Both go into one box, and the list keeps its allocation for the next request. The registration of an open request is held from the end of forwarding instead of its start; until then it belongs to the future of the request, which ends with its connection, so it is released when it was before. No behaviour changes.

The cost was not measured.

--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -161,7 +161,7 @@
     /// a connection that has never had a request.
     pub(crate) async fn linger(&self) {
         self.has_requested.set(false);
-        self.handle(Event::LingerBegan);
+        self.handle(Event::LingerBegan { at: Instant::now() });
         let Linger { time, bytes } = self.options.linger;
         tokio::select! {
             () = self.socket.linger(time, bytes) => {}
@@ -172,7 +172,7 @@
     /// Handles an event of the connection.
     fn handle(&self, event: Event) {
         let before = self.phase.get();
-        let after = before.after(event, Instant::now());
+        let after = before.after(event);
         self.phase.set(after);
         if before == Phase::Writing && after != Phase::Writing {
             self.release_held();
@@ -182,8 +182,11 @@
     /// Ends the current response: drops what it holds, and its deadline.
     fn release_held(&self) {
         self.write_deadline.set(None);
-        let held = self.held.take();
-        drop(held);
+        // Dropping a resource may use the connection, so the list is not borrowed meanwhile.
+        let next = || self.held.borrow_mut().pop();
+        while let Some(resource) = next() {
+            drop(resource);
+        }
     }
 
     /// Returns whether a response is not complete, or not written completely.
@@ -281,7 +284,7 @@
     /// either written all bytes of a complete response, or waits for the kernel to accept more.
     fn observe_written(&self) {
         if self.phase.get() == Phase::Writing && self.socket.write_blocked_since().is_none() {
-            self.handle(Event::ResponseWritten);
+            self.handle(Event::ResponseWritten { at: Instant::now() });
         }
     }
 
@@ -369,7 +372,7 @@
 
 impl OpenRequest {
     fn new(connection: Rc<ServerConnection>) -> Self {
-        connection.handle(Event::HeadArrived);
+        connection.handle(Event::HeadArrived { at: Instant::now() });
         OpenRequest(connection)
     }
 }
--- a/crates/http1/src/server/phase.rs
+++ b/crates/http1/src/server/phase.rs
@@ -6,15 +6,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Event {
     /// The complete head of a request has arrived.
-    HeadArrived,
+    HeadArrived { at: Instant },
     /// The request has been read completely.
     RequestReceived,
     /// The body of the response was read completely, or dropped. Some of its bytes may not be written yet.
     ResponseEnded,
     /// Every byte of the response was handed to the kernel.
-    ResponseWritten,
+    ResponseWritten { at: Instant },
     /// The last response was written, and the rest of the client's input is discarded.
-    LingerBegan,
+    LingerBegan { at: Instant },
 }
 
 /// The phase of an incoming connection.
@@ -38,14 +38,16 @@
 
 impl Phase {
     /// Returns the phase after an event. Every change of the phase happens here.
-    pub(crate) fn after(self, event: Event, now: Instant) -> Phase {
+    pub(crate) fn after(self, event: Event) -> Phase {
         match (self, event) {
-            (_, Event::HeadArrived) => Phase::Receiving { since: now },
+            (_, Event::HeadArrived { at }) => Phase::Receiving { since: at },
             (Phase::Receiving { .. }, Event::RequestReceived) => Phase::Responding,
             (Phase::Receiving { .. } | Phase::Responding, Event::ResponseEnded) => Phase::Writing,
-            (Phase::Writing, Event::ResponseWritten) | (_, Event::LingerBegan) => Phase::Idle { since: now },
+            (Phase::Writing, Event::ResponseWritten { at }) | (_, Event::LingerBegan { at }) => {
+                Phase::Idle { since: at }
+            }
             // The start of a streamed response is written before its end is known.
-            (_, Event::RequestReceived | Event::ResponseEnded | Event::ResponseWritten) => self,
+            (_, Event::RequestReceived | Event::ResponseEnded | Event::ResponseWritten { .. }) => self,
         }
     }
 
--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -58,6 +58,13 @@
     reservation: BufferReservation,
 }
 
+/// A response from a server.
+struct ForwardedResponse {
+    response: ClientResponse,
+    /// The memory of a complete body; `None` for a stream.
+    reservation: Option<BufferReservation>,
+}
+
 /// The head of a request, and the route decision for it.
 struct RoutedHead {
     head: RequestHead,
@@ -77,7 +84,7 @@
         connection: &Rc<ServerConnection>,
     ) -> Result<ClientResponse, LocalResponse> {
         let socket = connection.socket();
-        let accepted = self.accept(request).await?;
+        let AcceptedRequest { context, open_request, reservation } = self.accept(request).await?;
         connection.request_received();
         let mut closed = pin!(socket.peer_closed());
         // A client may have closed its connection before it was accepted; its request is not sent to a
@@ -85,10 +92,20 @@
         if poll_fn(|cx| Poll::Ready(closed.as_mut().poll(cx).is_ready())).await {
             return Err(client_closed_response());
         }
-        tokio::select! {
+        let forwarded = tokio::select! {
             biased;
-            response = self.forward(accepted, connection) => response,
+            forwarded = self.forward(context, reservation, connection) => forwarded,
             () = closed => Err(client_closed_response()),
+        };
+        match forwarded {
+            Ok(ForwardedResponse { response, reservation }) => {
+                connection.hold_until_written((open_request, reservation));
+                Ok(response)
+            }
+            Err(local) => {
+                connection.hold_until_written(open_request);
+                Err(local)
+            }
         }
     }
 
@@ -161,26 +178,26 @@
 
     async fn forward(
         &self,
-        accepted: AcceptedRequest,
+        context: RequestContext,
+        reservation: BufferReservation,
         connection: &Rc<ServerConnection>,
-    ) -> Result<ClientResponse, LocalResponse> {
-        let AcceptedRequest { context, open_request, reservation } = accepted;
-        connection.hold_until_written(open_request);
+    ) -> Result<ForwardedResponse, LocalResponse> {
         let deadline = context.request.deadline;
         let mut forwarding = Box::new(Forwarding::new(self.state.clone(), context));
         match forwarding.forward().await {
             Ok(UpstreamResponse::Complete(head, BufferedBody { bytes, reservation })) => {
                 let start = deadline.max(Instant::now());
                 connection.limit_write_time(start, COMPLETE_WRITE_LIMIT, bytes.len());
-                connection.hold_until_written(reservation);
-                Ok(response::from_server(head, ResponseBody::Complete(Some(bytes))))
+                let response = response::from_server(head, ResponseBody::Complete(Some(bytes)));
+                Ok(ForwardedResponse { response, reservation: Some(reservation) })
             }
             Ok(UpstreamResponse::Stream(upstream)) => {
                 // A stream checks its deadline only when it is polled, and it is not polled while the client
                 // does not read.
                 connection.set_write_deadline(deadline + WRITE_MARGIN);
                 let (head, stream) = EventStream::new(forwarding, *upstream, reservation);
-                Ok(response::from_server(head, ResponseBody::Stream(Box::new(stream))))
+                let response = response::from_server(head, ResponseBody::Stream(Box::new(stream)));
+                Ok(ForwardedResponse { response, reservation: None })
             }
             Err(ForwardError::Local(response)) => Err(response),
             Err(ForwardError::Truncated) => Err(LocalResponse::status(StatusCode::BAD_GATEWAY)),
