--- a/crates/quillpulley/src/lib.rs
+++ b/crates/quillpulley/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod lag;
 pub mod peer;
 pub mod proxy;
+mod request_body;
 pub mod runtime;
 mod settings;
 pub mod signals;
--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -9,16 +9,16 @@
 use crate::proxy::downstream::local_response::LocalResponse;
 use crate::proxy::downstream::open_requests::OpenRequest;
 use crate::proxy::downstream::request::{head_bytes, ClientRequest, RequestContext, RequestHead};
-use crate::proxy::downstream::request_body::read_body;
 use crate::proxy::downstream::response::{self, ClientResponse, ResponseBody};
 use crate::proxy::retry::forwarding::{ForwardError, Forwarding, UpstreamResponse};
 use crate::proxy::shutdown::lifecycle;
 use crate::proxy::state::ProxyState;
 use crate::proxy::streaming::event_stream::EventStream;
 use crate::proxy::upstream::upstream_request::BufferedBody;
+use crate::request_body::{read_body, BodyError, ReservationPolicy};
 use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode};
-use quillpulley_http1::{ServerConnection, Service};
+use quillpulley_http1::{ServerConnection, Service, WriteLimit};
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::pin;
@@ -34,10 +34,13 @@
 const DRAINING_RETRY_AFTER: Duration = Duration::ZERO;
 /// `Retry-After` for a request without a known route while the published state is stale.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` for a request whose body does not fit into the memory budget.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// How long after its deadline a response must have been written.
 const WRITE_MARGIN: Duration = Duration::from_millis(200);
-/// Minimum rate at which clients have to read complete responses after their deadline, in bytes per second.
-const MIN_READ_RATE: f64 = 32.0 * 1024.0;
+/// The limit on the time in which clients read complete responses after their deadline. It grows with their length,
+/// as the server has executed the request.
+const COMPLETE_WRITE_LIMIT: WriteLimit = WriteLimit { base: WRITE_MARGIN, min_rate: 32.0 * 1024.0 };
 /// Number of received bytes to record on a connection: one is enough to detect that a request has begun.
 pub const RECORDED_BYTES: usize = 1;
 
@@ -55,6 +58,13 @@
     reservation: BufferReservation,
 }
 
+/// A response from a server.
+struct ForwardedResponse {
+    response: ClientResponse,
+    /// The memory of a complete body; `None` for a stream.
+    reservation: Option<BufferReservation>,
+}
+
 /// The head of a request, and the route decision for it.
 struct RoutedHead {
     head: RequestHead,
@@ -74,7 +84,7 @@
         connection: &Rc<ServerConnection>,
     ) -> Result<ClientResponse, LocalResponse> {
         let socket = connection.socket();
-        let accepted = self.accept(request).await?;
+        let AcceptedRequest { context, open_request, reservation } = self.accept(request).await?;
         connection.request_received();
         let mut closed = pin!(socket.peer_closed());
         // A client may have closed its connection before it was accepted; its request is not sent to a
@@ -82,10 +92,20 @@
         if poll_fn(|cx| Poll::Ready(closed.as_mut().poll(cx).is_ready())).await {
             return Err(client_closed_response());
         }
-        tokio::select! {
+        let forwarded = tokio::select! {
             biased;
-            response = self.forward(accepted, connection) => response,
+            forwarded = self.forward(context, reservation, connection) => forwarded,
             () = closed => Err(client_closed_response()),
+        };
+        match forwarded {
+            Ok(ForwardedResponse { response, reservation }) => {
+                connection.hold_until_written((open_request, reservation));
+                Ok(response)
+            }
+            Err(local) => {
+                connection.hold_until_written(open_request);
+                Err(local)
+            }
         }
     }
 
@@ -105,9 +125,11 @@
         let RoutedHead { head, decision, deadline } =
             self.route(&config, head, arrived).map_err(without_reading_body)?;
         let mut reservation = self.state.upstreams.buffers().reservation();
-        let reading = read_body(body, limits.max_body_bytes as usize, &mut reservation);
+        let max_bytes = limits.max_body_bytes as usize;
+        let reading = read_body(body, max_bytes, ReservationPolicy::BeforeReading, &mut reservation);
         let body = timeout_at(deadline, reading).await;
-        let body = body.map_err(|_| LocalResponse::closing(StatusCode::REQUEST_TIMEOUT))??;
+        let body = body.map_err(|_| LocalResponse::closing(StatusCode::REQUEST_TIMEOUT))?;
+        let body = body.map_err(body_error_response)?;
         let open_request = self.open_request(&head)?;
         let request = ClientRequest::new(head, body, arrived, deadline);
         let context = RequestContext { request, decision };
@@ -156,18 +178,18 @@
 
     async fn forward(
         &self,
-        accepted: AcceptedRequest,
+        context: RequestContext,
+        reservation: BufferReservation,
         connection: &Rc<ServerConnection>,
-    ) -> Result<ClientResponse, LocalResponse> {
-        let AcceptedRequest { context, open_request, reservation } = accepted;
-        connection.hold_until_written(open_request);
+    ) -> Result<ForwardedResponse, LocalResponse> {
         let deadline = context.request.deadline;
         let mut forwarding = Box::new(Forwarding::new(self.state.clone(), context));
         match forwarding.forward().await {
             Ok(UpstreamResponse::Complete(head, BufferedBody { bytes, reservation })) => {
-                connection.set_write_deadline(complete_write_deadline(deadline, bytes.len()));
-                connection.hold_until_written(reservation);
-                Ok(response::from_server(head, ResponseBody::Complete(Some(bytes))))
+                let start = deadline.max(Instant::now());
+                connection.limit_write_time(start, COMPLETE_WRITE_LIMIT, bytes.len());
+                let response = response::from_server(head, ResponseBody::Complete(Some(bytes)));
+                Ok(ForwardedResponse { response, reservation: Some(reservation) })
             }
             Ok(UpstreamResponse::Stream(upstream)) => {
                 // A stream checks its deadline only when it is polled, and it is not polled while the client
@@ -175,7 +197,8 @@
                 connection.set_write_deadline(deadline + WRITE_MARGIN);
                 let client = connection.socket().clone();
                 let (head, stream) = EventStream::new(forwarding, *upstream, reservation, client);
-                Ok(response::from_server(head, ResponseBody::Stream(Box::new(stream))))
+                let response = response::from_server(head, ResponseBody::Stream(Box::new(stream)));
+                Ok(ForwardedResponse { response, reservation: None })
             }
             Err(ForwardError::Local(response)) => Err(response),
             Err(ForwardError::Truncated) => Err(LocalResponse::status(StatusCode::BAD_GATEWAY)),
@@ -208,11 +231,14 @@
     }
 }
 
-/// Returns the time by which a complete response of `bytes` bytes has to be written. A client that reads it
-/// slowly may take longer than the deadline of its request, as the server has executed the request.
-fn complete_write_deadline(deadline: Instant, bytes: usize) -> Instant {
-    let read_time = Duration::from_secs_f64(bytes as f64 / MIN_READ_RATE);
-    deadline.max(Instant::now()) + WRITE_MARGIN + read_time
+/// Returns the response to a request whose body was not read. It closes the connection, as the rest of the body
+/// is not read either.
+fn body_error_response(error: BodyError) -> LocalResponse {
+    match error {
+        BodyError::TooLarge => LocalResponse::closing(StatusCode::PAYLOAD_TOO_LARGE),
+        BodyError::OutOfMemory => LocalResponse::unavailable(NO_MEMORY_RETRY_AFTER).closing_if(true),
+        BodyError::Incomplete => LocalResponse::closing(StatusCode::BAD_REQUEST),
+    }
 }
 
 /// Returns a placeholder response, which is never delivered because the client has closed its connection.
