A test that configurations of the largest size do not close slow links

The compression of published state ended that: four updates of 4.5 MB in a row fit into the queue of a link (8 MiB).

--- a/crates/protocol/tests/queue.rs
+++ b/crates/protocol/tests/queue.rs
@@ -312,6 +312,42 @@
     assert_eq!((&plain.received, &link.received), (&vec![state.clone()], &vec![state]));
 }
 
+/// Returns the update that publishes a configuration of about this many bytes whose routes have all changed.
+fn changed_configuration(tick: u64, bytes: usize) -> Body {
+    let mut random = fastrand::Rng::with_seed(tick);
+    let mut items = Vec::new();
+    let mut length = 0;
+    while length < bytes {
+        let (host, path) = (random.u32(..), random.u32(..));
+        let key = format!("route/{host:08x}.example/{path:08x}/");
+        let value = format!(
+            "{key} streaming timeout={} target={} service-{}:{} attempts=2 homes=north,south",
+            random.u32(100..60_000),
+            random.u32(100..2_000),
+            random.u32(0..200),
+            random.u32(1..100),
+        );
+        length += key.len() + value.len();
+        items.push(Item { key, removed: false, value: value.into_bytes() });
+    }
+    let revision = Revision { epoch: 1, tick };
+    Body::Update(Box::new(Update { revision, items, ..Update::default() }))
+}
+
+/// Guards against links that are closed because their queue is full of configurations of the largest size: the second
+/// one within a few seconds did that on a slow link, and the next link of the child was filled again.
+#[test]
+fn configurations_of_the_largest_size_in_a_row_fit_into_the_queue_of_a_slow_link() {
+    const LARGEST_BYTES: usize = 4_500_000;
+    let mut link = link_with_compression();
+    let updates: Vec<Body> = (1..=4).map(|tick| changed_configuration(tick, LARGEST_BYTES)).collect();
+    updates.iter().for_each(|update| link.send(update));
+    while link.transfer(100_000) > 0 {
+        link.acknowledge();
+    }
+    assert_eq!(link.received, updates);
+}
+
 #[test]
 fn long_published_items_are_compressed_and_short_updates_are_not() {
     let mut link = link_with_compression();
