--- a/crates/quillpulley/src/agent/mod.rs
+++ b/crates/quillpulley/src/agent/mod.rs
@@ -11,18 +11,18 @@
 //! | [`parent_search`] | selects the parent from which the agent receives published state |
 //! | [`drain`] | the shutdown sequence after SIGTERM |
 //! | `children`, `parent_links` | map links to the processes at their other ends |
-//! | `peer_directory` | the published processes: candidates for the parent, and peers to be monitored |
-//! | `local_state` | the part of the reports that originates at this agent |
+//! | [`peer_directory`] | the published processes: candidates for the parent, and peers to be monitored |
+//! | [`local_state`] | the part of the reports that originates at this agent |
 //! | `datagrams` | sends and receives pings |
 
 mod children;
 mod datagrams;
 pub mod drain;
 mod host;
-mod local_state;
+pub mod local_state;
 mod parent_links;
 pub mod parent_search;
-mod peer_directory;
+pub mod peer_directory;
 
 use crate::peer::{bind, bind_datagrams};
 use crate::signals::{self, ProcessSignal};
