--- a/crates/quillpulley/tests/relay_tree/hosts/agent.rs
+++ b/crates/quillpulley/tests/relay_tree/hosts/agent.rs
@@ -91,6 +91,14 @@
             }
             self.handle_sync(context, state_sync::Event::ParentFrame(body));
         } else if let Some(child) = self.children.get(&link) {
+            if let (PeerKind::Agent, Body::Subscribe(subscribe)) = (child.kind, &body) {
+                let has_no_state = self.node.revision() == Revision::default();
+                if has_no_state && subscribe.revision != Revision::default() {
+                    self.remove_child(context, link);
+                    self.handle_sync(context, state_sync::Event::ChildDown(link));
+                    return context.close(link);
+                }
+            }
             if let (PeerKind::Proxy, Body::Report(report)) = (child.kind, &mut body) {
                 if self.local_state.take_endpoint(report) {
                     self.report_local(context);
--- a/crates/quillpulley/tests/relay_tree/world.rs
+++ b/crates/quillpulley/tests/relay_tree/world.rs
@@ -9,7 +9,7 @@
 use crate::published::{self, PublishedItems};
 use crate::timeline::{Command, FaultKind, Selector};
 use crate::topology::{places, ranked_agents, AgentCounts, Place, ROOT};
-use quillpulley_protocol::{Body, FrameEncoder, Lane};
+use quillpulley_protocol::{Body, FrameEncoder, Lane, OutgoingMessage};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -645,6 +645,7 @@
             return 0.0;
         }
         end.state = EndState::Established;
+        end.queue.enable_compression();
         let process = end.process;
         let Some(host) = &self.processes[process].host else { return 0.0 };
         let hello = Body::Hello(Box::new(host.hello()));
@@ -654,7 +655,8 @@
 
     /// Returns the cost of sending a message on several links.
     fn send(&mut self, process: usize, links: &[LinkId], body: &Body) -> f64 {
-        let message = self.encoder.message(body).to_vec();
+        let bytes = self.encoder.message(body).to_vec();
+        let message = OutgoingMessage::new(Lane::of(body), &bytes);
         for link in links {
             let side = self.side(process, *link);
             let Some(connection) = self.connections.get_mut(link) else { continue };
@@ -662,12 +664,12 @@
             if !end.is_usable() {
                 continue;
             }
-            match end.queue.push(Lane::of(body), &message, MAX_QUEUED_BYTES) {
+            match end.queue.push(&message, MAX_QUEUED_BYTES) {
                 Ok(()) => self.send_waiting(*link, side),
                 Err(_) => self.break_end(*link, side),
             }
         }
-        let kilobytes = message.len() as f64 / 1_024.0;
+        let kilobytes = bytes.len() as f64 / 1_024.0;
         kilobytes * KILOBYTE_COST_US + links.len() as f64 * MESSAGE_COST_US
     }
 
