Attempts that hang do not hold up the search for a parent

Cause: at most three attempts run at once. Three machines without power hold them for 0.5 s, three frozen ones for 1 s, while control nodes could be reached. An attempt that hung until another candidate had connected was cancelled without a penalty, so that the same dead candidate came first in the next search, 0.25 s each time.

Change: once the state is 2 s old, an attempt to an agent gives way to one to a control node. An attempt that is cancelled after it hung for 0.25 s gives its candidate a penalty.

Tests: one timeline and one test of the penalties, which fail on the former code.

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -100,6 +100,13 @@
     Trial { former: ParentCandidate, ends_at: Duration },
 }
 
+/// A connection attempt in progress.
+#[derive(Copy, Clone, Debug)]
+struct Attempt {
+    candidate: ParentCandidate,
+    since: Duration,
+}
+
 #[derive(Copy, Clone, Debug)]
 struct Parent {
     candidate: ParentCandidate,
@@ -112,8 +119,8 @@
 pub struct ParentSearch {
     state: SearchState,
     candidates: Vec<ParentCandidate>,
-    /// The candidates to which a connection attempt is in progress.
-    attempts: Vec<ParentCandidate>,
+    /// The connection attempts in progress, the oldest first.
+    attempts: Vec<Attempt>,
     parent: Option<Parent>,
     /// Why the latest search began.
     search_reason: ParentChangeReason,
@@ -156,7 +163,7 @@
     /// Returns when the next [`Event::Tick`] is due, or `Duration::MAX` if no timer is running.
     pub fn next_tick(&self) -> Duration {
         match self.state {
-            SearchState::Searching { .. } if self.attempts.len() >= MAX_CONCURRENT_ATTEMPTS => Duration::MAX,
+            SearchState::Searching { .. } if !self.may_have_room() => Duration::MAX,
             SearchState::Searching { next_connect, .. } => next_connect,
             SearchState::Attached { next_review } => self.deadline().min(next_review),
             SearchState::Trial { ends_at, .. } => ends_at,
@@ -321,18 +328,56 @@
     /// Connects to the best candidate without a penalty, or to the best control node if the revision is too old. If all
     /// have penalties, connects to the one whose penalty expires first. Returns the delay until the next attempt.
     fn connect_to_next(&mut self, now: Duration, actions: &mut Vec<Action>) -> Duration {
-        if self.attempts.len() < MAX_CONCURRENT_ATTEMPTS {
-            let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
-            let avoid_agents = now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
-            let next = untried.min_by_key(|candidate| {
-                let is_avoided = avoid_agents && matches!(candidate, ParentCandidate::Agent(_));
-                (self.penalties.remaining(now, *candidate), is_avoided)
-            });
-            next.into_iter().for_each(|candidate| self.connect(candidate, actions));
+        let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
+        let avoid_agents = now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
+        let next = untried.min_by_key(|candidate| {
+            let is_avoided = avoid_agents && matches!(candidate, ParentCandidate::Agent(_));
+            (self.penalties.remaining(now, *candidate), is_avoided)
+        });
+        if let Some(next) = next.filter(|next| self.make_room(now, *next, avoid_agents, actions)) {
+            self.connect(now, next, actions);
         }
         ATTEMPT_STAGGER
     }
 
+    /// Returns whether another attempt may be made, perhaps in place of one to an agent.
+    fn may_have_room(&self) -> bool {
+        self.attempts.len() < MAX_CONCURRENT_ATTEMPTS || self.oldest_attempt_to_agent().is_some()
+    }
+
+    fn oldest_attempt_to_agent(&self) -> Option<usize> {
+        let is_to_agent = |attempt: &Attempt| matches!(attempt.candidate, ParentCandidate::Agent(_));
+        self.attempts.iter().position(is_to_agent)
+    }
+
+    /// Returns whether there is room for an attempt to connect to this candidate. If agents are to be avoided, the oldest
+    /// attempt to one is cancelled in favour of a control node.
+    fn make_room(
+        &mut self,
+        now: Duration,
+        next: ParentCandidate,
+        avoid_agents: bool,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if self.attempts.len() < MAX_CONCURRENT_ATTEMPTS {
+            return true;
+        }
+        let is_preferred = avoid_agents && matches!(next, ParentCandidate::ControlNode(_));
+        let Some(oldest) = self.oldest_attempt_to_agent().filter(|_| is_preferred) else { return false };
+        let attempt = self.attempts.remove(oldest);
+        self.cancel(now, attempt, actions);
+        true
+    }
+
+    /// Cancels an attempt that was removed. A candidate that has not answered for as long as the next one had to wait
+    /// gets a penalty.
+    fn cancel(&mut self, now: Duration, attempt: Attempt, actions: &mut Vec<Action>) {
+        if now >= attempt.since + ATTEMPT_STAGGER {
+            self.penalties.add(now, attempt.candidate);
+        }
+        actions.push(Action::Close(attempt.candidate));
+    }
+
     /// Connects to the best candidate without a penalty, if it is better than the parent and no attempt is in progress.
     fn connect_to_better(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(parent) = self.parent else { return };
@@ -340,12 +385,12 @@
             self.candidates.iter().filter(|c| self.penalties.remaining(now, **c).is_zero());
         let Some(best) = without_penalty.next().copied() else { return };
         if self.attempts.is_empty() && self.is_better(best, parent.candidate) {
-            self.connect(best, actions);
+            self.connect(now, best, actions);
         }
     }
 
-    fn connect(&mut self, candidate: ParentCandidate, actions: &mut Vec<Action>) {
-        self.attempts.push(candidate);
+    fn connect(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
+        self.attempts.push(Attempt { candidate, since: now });
         actions.push(Action::Connect(candidate));
     }
 
@@ -353,10 +398,10 @@
     fn keep_parent(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(parent) = self.parent else { return };
         let attempts = std::mem::take(&mut self.attempts);
-        let (kept, worse) =
-            attempts.into_iter().partition(|attempt| self.is_better(*attempt, parent.candidate));
+        let (kept, worse): (Vec<Attempt>, Vec<Attempt>) =
+            attempts.into_iter().partition(|attempt| self.is_better(attempt.candidate, parent.candidate));
         self.attempts = kept;
-        actions.extend(worse.into_iter().map(Action::Close));
+        worse.into_iter().for_each(|attempt| self.cancel(now, attempt, actions));
         let next_review = now + self.randomized(REVIEW_INTERVAL, 0.25);
         self.change_state(SearchState::Attached { next_review });
     }
@@ -375,13 +420,14 @@
     /// Removes the connection attempt to a candidate. Returns whether there was one.
     fn remove_attempt(&mut self, candidate: ParentCandidate) -> bool {
         let attempts = self.attempts.len();
-        self.attempts.retain(|attempt| *attempt != candidate);
+        self.attempts.retain(|attempt| attempt.candidate != candidate);
         self.attempts.len() < attempts
     }
 
     fn is_in_use(&self, candidate: ParentCandidate) -> bool {
         let is_former = matches!(self.state, SearchState::Trial { former, .. } if former == candidate);
-        is_former || self.parent() == Some(candidate) || self.attempts.contains(&candidate)
+        let is_attempted = self.attempts.iter().any(|attempt| attempt.candidate == candidate);
+        is_former || is_attempted || self.parent() == Some(candidate)
     }
 
     /// Returns whether one candidate is better than another. A process that is no longer a candidate ranks below all
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -281,6 +281,42 @@
     );
 }
 
+/// Guards against searches that wait for three agents without power while control nodes could be reached.
+#[test]
+fn an_attempt_to_an_agent_gives_way_to_a_control_node_once_the_revision_is_too_old() {
+    run_timeline(
+        "
+            0 | candidates A1 A2 A3 A4 C1 | connect A1
+           10 | opened A1                 | use A1
+          100 | advanced                  |
+         1500 | lost A1                   |
+         1560 |                           | connect A2
+         1810 |                           | connect A3
+         2060 |                           | connect A4
+         2310 |                           | close A2, connect C1
+         2320 | opened C1                 | use C1
+         2330 | advanced                  |
+        ",
+    );
+}
+
+/// Guards against candidates without power that are tried first in each search, because their attempts were cancelled
+/// when another candidate had connected.
+#[test]
+fn an_attempt_that_hung_until_it_was_cancelled_gives_its_candidate_a_penalty() {
+    let mut parent_search = ParentSearch::new(1);
+    let mut failed_after = |milliseconds: u64, text: &str| {
+        let now = Duration::from_millis(milliseconds);
+        parent_search.handle(now, event(text), &mut Vec::new());
+        parent_search.failed_candidates(now).into_iter().map(name).collect::<Vec<_>>().join(" ")
+    };
+    assert_eq!(failed_after(0, "candidates C1 C2 C3"), "");
+    assert_eq!(failed_after(250, ""), "");
+    assert_eq!(failed_after(500, ""), "");
+    assert_eq!(failed_after(510, "candidates C2 C1 C3"), "");
+    assert_eq!(failed_after(520, "opened C2"), "C1", "C3 had no time to answer");
+}
+
 #[test]
 fn an_agent_that_becomes_the_parent_late_has_some_time() {
     run_timeline(
