A control node with a penalty is tried once the state is too old

Cause: once the revision was two seconds old, candidates were ordered by their penalties first and control nodes came first only among equal ones. Where all control nodes had failed some seconds earlier (penalties last 2 to 30 s), every agent without a penalty, and then agents with shorter penalties, came before them, each for 0.3 s.

Change: while the revision is too old and no control node is being tried, the next candidate is the control node whose penalty expires first. While one is being tried, or is the parent, the order is as before, so that agents are tried too where no control node answers.

Test: a_control_node_with_a_penalty_is_tried_before_agents_without_once_the_revision_is_too_old fails on the former code ('connect A3' instead of 'connect C1'; 19 passed, 1 failed).

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -318,21 +318,37 @@
         }
     }
 
-    /// Connects to the best candidate without a penalty, or to the best control node if the revision is too old. If all
-    /// have penalties, connects to the one whose penalty expires first. Returns the delay until the next attempt.
+    /// Connects to the next candidate. Returns the delay until the next attempt.
     fn connect_to_next(&mut self, now: Duration, actions: &mut Vec<Action>) -> Duration {
         if self.attempts.len() < MAX_CONCURRENT_ATTEMPTS {
-            let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
-            let avoid_agents = now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
-            let next = untried.min_by_key(|candidate| {
-                let is_avoided = avoid_agents && matches!(candidate, ParentCandidate::Agent(_));
-                (self.penalties.remaining(now, *candidate), is_avoided)
-            });
+            let next = self.next_candidate(now);
             next.into_iter().for_each(|candidate| self.connect(candidate, actions));
         }
         ATTEMPT_STAGGER
     }
 
+    /// Returns the best candidate without a penalty, or the best control node if the revision is too old. If all have
+    /// penalties, returns the one whose penalty expires first. While the revision is too old and no control node is being
+    /// tried, returns a control node even if only control nodes have penalties.
+    fn next_candidate(&self, now: Duration) -> Option<ParentCandidate> {
+        let is_too_old = now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
+        let needs_control_node = is_too_old && !self.is_trying_control_node();
+        let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
+        untried.min_by_key(|candidate| {
+            let is_agent = matches!(candidate, ParentCandidate::Agent(_));
+            (
+                needs_control_node && is_agent,
+                self.penalties.remaining(now, *candidate),
+                is_too_old && is_agent,
+            )
+        })
+    }
+
+    fn is_trying_control_node(&self) -> bool {
+        let mut tried = self.attempts.iter().copied().chain(self.parent());
+        tried.any(|candidate| matches!(candidate, ParentCandidate::ControlNode(_)))
+    }
+
     /// Connects to the best candidate without a penalty, if it is better than the parent and no attempt is in progress.
     fn connect_to_better(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(parent) = self.parent else { return };
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -281,6 +281,29 @@
     );
 }
 
+/// Guards against configurations that are late because all control nodes failed some seconds ago, so that agents which wait
+/// themselves are tried again and again until the penalties of the control nodes expire.
+#[test]
+fn a_control_node_with_a_penalty_is_tried_before_agents_without_once_the_revision_is_too_old() {
+    run_timeline(
+        "
+            0 | candidates C1          | connect C1
+           10 | lost C1                |
+          100 |                        | connect C1
+          110 | lost C1                |
+          120 | candidates A1 A2 A3 C1 |
+          300 |                        | connect A1
+          310 | opened A1              | use A1
+          400 | advanced               |
+         1910 |                        | connect A2
+         1920 | opened A2              | use A2, close A1
+         2390 |                        |
+         2400 |                        | connect C1
+         2410 | opened C1              | use C1, close A2
+        ",
+    );
+}
+
 #[test]
 fn an_agent_that_becomes_the_parent_late_has_some_time() {
     run_timeline(
