--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -325,21 +325,42 @@
         }
     }
 
-    /// Connects to the best candidate without a penalty, or to the best control node if the revision is too old. If all
-    /// have penalties, connects to the one whose penalty expires first. Returns the delay until the next attempt.
+    /// Connects to the next candidate. Returns the delay until the next attempt.
     fn connect_to_next(&mut self, now: Duration, actions: &mut Vec<Action>) -> Duration {
-        let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
-        let avoid_agents = now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
-        let next = untried.min_by_key(|candidate| {
-            let is_avoided = avoid_agents && matches!(candidate, ParentCandidate::Agent(_));
-            (self.penalties.remaining(now, *candidate), is_avoided)
-        });
-        if let Some(next) = next.filter(|next| self.make_room(now, *next, avoid_agents, actions)) {
+        let next = self.next_candidate(now);
+        if let Some(next) = next.filter(|next| self.make_room(now, *next, actions)) {
             self.connect(now, next, actions);
         }
         ATTEMPT_STAGGER
     }
 
+    /// Returns the best candidate without a penalty, or the best control node if the revision is too old. If all have
+    /// penalties, returns the one whose penalty expires first. While the revision is too old and no control node is being
+    /// tried, returns a control node even if only control nodes have penalties.
+    fn next_candidate(&self, now: Duration) -> Option<ParentCandidate> {
+        let is_too_old = self.is_too_old(now);
+        let needs_control_node = is_too_old && !self.is_trying_control_node();
+        let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
+        untried.min_by_key(|candidate| {
+            let is_agent = matches!(candidate, ParentCandidate::Agent(_));
+            (
+                needs_control_node && is_agent,
+                self.penalties.remaining(now, *candidate),
+                is_too_old && is_agent,
+            )
+        })
+    }
+
+    fn is_trying_control_node(&self) -> bool {
+        let attempted = self.attempts.iter().map(|attempt| attempt.candidate);
+        let mut tried = attempted.chain(self.parent());
+        tried.any(|candidate| matches!(candidate, ParentCandidate::ControlNode(_)))
+    }
+
+    fn is_too_old(&self, now: Duration) -> bool {
+        now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS
+    }
+
     /// Returns whether another attempt may be made, perhaps in place of one to an agent.
     fn may_have_room(&self) -> bool {
         self.attempts.len() < MAX_CONCURRENT_ATTEMPTS || self.oldest_attempt_to_agent().is_some()
@@ -350,19 +371,13 @@
         self.attempts.iter().position(is_to_agent)
     }
 
-    /// Returns whether there is room for an attempt to connect to this candidate. If agents are to be avoided, the oldest
-    /// attempt to one is cancelled in favour of a control node.
-    fn make_room(
-        &mut self,
-        now: Duration,
-        next: ParentCandidate,
-        avoid_agents: bool,
-        actions: &mut Vec<Action>,
-    ) -> bool {
+    /// Returns whether there is room for an attempt to connect to this candidate. If the revision is too old, the oldest
+    /// attempt to an agent is cancelled in favour of a control node.
+    fn make_room(&mut self, now: Duration, next: ParentCandidate, actions: &mut Vec<Action>) -> bool {
         if self.attempts.len() < MAX_CONCURRENT_ATTEMPTS {
             return true;
         }
-        let is_preferred = avoid_agents && matches!(next, ParentCandidate::ControlNode(_));
+        let is_preferred = self.is_too_old(now) && matches!(next, ParentCandidate::ControlNode(_));
         let Some(oldest) = self.oldest_attempt_to_agent().filter(|_| is_preferred) else { return false };
         let attempt = self.attempts.remove(oldest);
         self.cancel(now, attempt, actions);
