--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -9,8 +9,10 @@
 //! While the agent has a parent, the search tries every few seconds to connect to a better candidate. The link to the
 //! former parent stays open until the revision has advanced with the better one.
 
+mod attempts;
 mod penalties;
 
+use attempts::{Attempt, Attempts};
 use displaydoc::Display;
 use penalties::Penalties;
 use quillpulley_state_sync::parent_selection::ParentCandidate;
@@ -26,8 +28,6 @@
 /// The delay between connection attempts. If a candidate has not connected within this time, the next one is tried
 /// concurrently.
 const ATTEMPT_STAGGER: Duration = Duration::from_millis(250);
-/// The maximum number of concurrent connection attempts.
-const MAX_CONCURRENT_ATTEMPTS: usize = 3;
 /// The backoff after a failed attempt. It doubles with each consecutive failure from the minimum to the maximum, and is
 /// randomized by up to half of itself in either direction.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
@@ -100,13 +100,6 @@
     Trial { former: ParentCandidate, ends_at: Duration },
 }
 
-/// A connection attempt in progress.
-#[derive(Copy, Clone, Debug)]
-struct Attempt {
-    candidate: ParentCandidate,
-    since: Duration,
-}
-
 #[derive(Copy, Clone, Debug)]
 struct Parent {
     candidate: ParentCandidate,
@@ -119,8 +112,7 @@
 pub struct ParentSearch {
     state: SearchState,
     candidates: Vec<ParentCandidate>,
-    /// The connection attempts in progress, the oldest first.
-    attempts: Vec<Attempt>,
+    attempts: Attempts,
     parent: Option<Parent>,
     /// Why the latest search began.
     search_reason: ParentChangeReason,
@@ -138,7 +130,7 @@
         ParentSearch {
             state: SearchState::Searching { since: Duration::ZERO, next_connect: Duration::ZERO },
             candidates: Vec::new(),
-            attempts: Vec::new(),
+            attempts: Attempts::default(),
             parent: None,
             search_reason: ParentChangeReason::First,
             revision_advanced_at: Duration::ZERO,
@@ -163,7 +155,7 @@
     /// Returns when the next [`Event::Tick`] is due, or `Duration::MAX` if no timer is running.
     pub fn next_tick(&self) -> Duration {
         match self.state {
-            SearchState::Searching { .. } if !self.may_have_room() => Duration::MAX,
+            SearchState::Searching { .. } if !self.attempts.may_have_room() => Duration::MAX,
             SearchState::Searching { next_connect, .. } => next_connect,
             SearchState::Attached { next_review } => self.deadline().min(next_review),
             SearchState::Trial { ends_at, .. } => ends_at,
@@ -199,7 +191,7 @@
     }
 
     fn link_opened(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
-        if !self.remove_attempt(candidate) {
+        if !self.attempts.remove(candidate) {
             return;
         }
         self.failures = 0;
@@ -256,7 +248,7 @@
     }
 
     fn link_lost(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
-        if self.remove_attempt(candidate) {
+        if self.attempts.remove(candidate) {
             self.penalties.add(now, candidate);
             self.failures = self.failures.saturating_add(1);
             self.schedule_retry(now);
@@ -352,8 +344,7 @@
     }
 
     fn is_trying_control_node(&self) -> bool {
-        let attempted = self.attempts.iter().map(|attempt| attempt.candidate);
-        let mut tried = attempted.chain(self.parent());
+        let mut tried = self.attempts.candidates().chain(self.parent());
         tried.any(|candidate| matches!(candidate, ParentCandidate::ControlNode(_)))
     }
 
@@ -361,25 +352,15 @@
         now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS
     }
 
-    /// Returns whether another attempt may be made, perhaps in place of one to an agent.
-    fn may_have_room(&self) -> bool {
-        self.attempts.len() < MAX_CONCURRENT_ATTEMPTS || self.oldest_attempt_to_agent().is_some()
-    }
-
-    fn oldest_attempt_to_agent(&self) -> Option<usize> {
-        let is_to_agent = |attempt: &Attempt| matches!(attempt.candidate, ParentCandidate::Agent(_));
-        self.attempts.iter().position(is_to_agent)
-    }
-
     /// Returns whether there is room for an attempt to connect to this candidate. If the revision is too old, the oldest
     /// attempt to an agent is cancelled in favour of a control node.
     fn make_room(&mut self, now: Duration, next: ParentCandidate, actions: &mut Vec<Action>) -> bool {
-        if self.attempts.len() < MAX_CONCURRENT_ATTEMPTS {
+        if self.attempts.has_room() {
             return true;
         }
         let is_preferred = self.is_too_old(now) && matches!(next, ParentCandidate::ControlNode(_));
-        let Some(oldest) = self.oldest_attempt_to_agent().filter(|_| is_preferred) else { return false };
-        let attempt = self.attempts.remove(oldest);
+        let replaced = if is_preferred { self.attempts.take_oldest_to_agent() } else { None };
+        let Some(attempt) = replaced else { return false };
         self.cancel(now, attempt, actions);
         true
     }
@@ -405,17 +386,15 @@
     }
 
     fn connect(&mut self, now: Duration, candidate: ParentCandidate, actions: &mut Vec<Action>) {
-        self.attempts.push(Attempt { candidate, since: now });
+        self.attempts.add(now, candidate);
         actions.push(Action::Connect(candidate));
     }
 
     /// Ends the search with the current parent, and cancels the attempts to connect to candidates that are not better.
     fn keep_parent(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(parent) = self.parent else { return };
-        let attempts = std::mem::take(&mut self.attempts);
-        let (kept, worse): (Vec<Attempt>, Vec<Attempt>) =
-            attempts.into_iter().partition(|attempt| self.is_better(attempt.candidate, parent.candidate));
-        self.attempts = kept;
+        let (candidates, rank) = (&self.candidates, self.rank(parent.candidate));
+        let worse = self.attempts.take_unless(|candidate| rank_among(candidates, candidate) < rank);
         worse.into_iter().for_each(|attempt| self.cancel(now, attempt, actions));
         let next_review = now + self.randomized(REVIEW_INTERVAL, 0.25);
         self.change_state(SearchState::Attached { next_review });
@@ -432,16 +411,9 @@
         self.state = next;
     }
 
-    /// Removes the connection attempt to a candidate. Returns whether there was one.
-    fn remove_attempt(&mut self, candidate: ParentCandidate) -> bool {
-        let attempts = self.attempts.len();
-        self.attempts.retain(|attempt| attempt.candidate != candidate);
-        self.attempts.len() < attempts
-    }
-
     fn is_in_use(&self, candidate: ParentCandidate) -> bool {
         let is_former = matches!(self.state, SearchState::Trial { former, .. } if former == candidate);
-        let is_attempted = self.attempts.iter().any(|attempt| attempt.candidate == candidate);
+        let is_attempted = self.attempts.candidates().any(|attempted| attempted == candidate);
         is_former || is_attempted || self.parent() == Some(candidate)
     }
 
@@ -452,8 +424,7 @@
     }
 
     fn rank(&self, candidate: ParentCandidate) -> usize {
-        let rank = self.candidates.iter().position(|known| *known == candidate);
-        rank.unwrap_or(usize::MAX)
+        rank_among(&self.candidates, candidate)
     }
 
     /// Returns when the parent will be considered stalled, unless the revision advances before then.
@@ -493,3 +464,9 @@
         time.mul_f64(1.0 - fraction + 2.0 * fraction * self.random.f64())
     }
 }
+
+/// Returns the position of a candidate in the order of preference. A process that is no longer a candidate comes last.
+fn rank_among(candidates: &[ParentCandidate], candidate: ParentCandidate) -> usize {
+    let position = candidates.iter().position(|known| *known == candidate);
+    position.unwrap_or(usize::MAX)
+}
