Tests: the soak's client reads headers as the system tests do

tests/soak/client.rs had a copy of the parsing of a header in tests/system/http.rs, which it includes already. It is a function there, header_value, for both. No behaviour changes.

--- a/crates/quillpulley/tests/soak/client.rs
+++ b/crates/quillpulley/tests/soak/client.rs
@@ -1,6 +1,7 @@
 //! A client that uses its connection for as long as it is open, and reads some of its answers slowly.
 
 use crate::answers::{End, Ended, Kind};
+use crate::http::header_value;
 use crate::server::body_part;
 use fastrand::Rng;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -128,7 +129,7 @@
     }
     let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
     let keeps_open = !head.to_ascii_lowercase().contains("connection: close");
-    let body = match header(&head, "content-length") {
+    let body = match header_value(&head, "content-length") {
         Some(length) => read_length(reader, length.parse().unwrap_or(0), request.read_time),
         None => read_chunks(reader),
     };
@@ -141,12 +142,6 @@
     (end, keeps_open)
 }
 
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    let headers = head.lines().skip(1).filter_map(|line| line.split_once(':'));
-    let mut matching = headers.filter(|(known, _)| known.eq_ignore_ascii_case(name));
-    matching.next().map(|(_, value)| value.trim())
-}
-
 /// Reads a body of this length over this time. An error is the number of bytes that came before its end.
 fn read_length(reader: &mut impl Read, length: usize, time: Duration) -> Result<Vec<u8>, usize> {
     let parts = (time.as_millis() / READ_INTERVAL.as_millis()) as usize + 1;
--- a/crates/quillpulley/tests/system/http.rs
+++ b/crates/quillpulley/tests/system/http.rs
@@ -96,9 +96,7 @@
 impl Response {
     /// Returns the value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let headers = self.head.lines().skip(1).filter_map(|line| line.split_once(':'));
-        let mut matching = headers.filter(|(known, _)| known.eq_ignore_ascii_case(name));
-        matching.next().map(|(_, value)| value.trim())
+        header_value(&self.head, name)
     }
 
     fn read(text: &str) -> Option<Response> {
@@ -111,6 +109,13 @@
     }
 }
 
+/// Returns the value of a header in the head of a message.
+pub fn header_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let headers = head.lines().skip(1).filter_map(|line| line.split_once(':'));
+    let mut matching = headers.filter(|(known, _)| known.eq_ignore_ascii_case(name));
+    matching.next().map(|(_, value)| value.trim())
+}
+
 fn decode_chunked(mut rest: &str) -> Option<String> {
     let mut body = String::new();
     loop {
