A backlog of new connections is accepted only up to the maximum

What callers saw: nothing yet; a listener held more connections than its limit for a moment, and with them more memory and descriptors than its budget.

Cause: an accepted connection was counted when its task first ran. While a backlog waits in the kernel's queue, accepting never has to wait, so many connections were accepted before any of them was counted.

Evidence: crates/http1/tests/server, a_backlog_is_accepted_only_up_to_the_maximum: 40 clients that wait while the maximum is 4 were all open at once before ("left: 40, right: 4"), and 4 now.

Why it works: the connection is added to the manager in the same step in which it is accepted.

--- a/crates/http1/src/server/manager.rs
+++ b/crates/http1/src/server/manager.rs
@@ -59,7 +59,8 @@
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(self.clone().serve(stream, service.clone()));
+                    let (number, connection) = self.add(stream);
+                    spawn_local(self.clone().serve(number, connection, service.clone()));
                 }
                 Err(error) => {
                     service.accept_failed(&error);
@@ -161,10 +162,20 @@
         true
     }
 
-    async fn serve<S: Service>(self: Rc<Self>, stream: TcpStream, service: Rc<S>) {
+    /// Adds an accepted connection, which counts as open from now on. Returns its number.
+    fn add(&self, stream: TcpStream) -> (u64, Rc<ServerConnection>) {
         let number = self.next_number.replace(self.next_number.get() + 1);
         let connection = Rc::new(ServerConnection::new(Socket::new(stream), self.options.get()));
         self.connections.borrow_mut().insert(number, connection.clone());
+        (number, connection)
+    }
+
+    async fn serve<S: Service>(
+        self: Rc<Self>,
+        number: u64,
+        connection: Rc<ServerConnection>,
+        service: Rc<S>,
+    ) {
         if connection.serve(&service, &self.draining).await == ServeEnd::Linger {
             connection.linger().await;
         }
