--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -235,21 +235,35 @@
         options: ConnectionOptions,
         write_limit: Option<WriteLimit>,
     ) -> Listener {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let address = listener.local_addr().expect("an address");
-        let manager = ConnectionManager::new(options);
-        let held = Rc::new(Held::default());
-        let stream_ended = Rc::new(Notify::new());
-        let held_back = Rc::new(HeldBack::default());
+        let (listener, socket) = Listener::bind(options).await;
+        listener.accept(socket, write_limit);
+        listener
+    }
+
+    /// Creates a listener that does not accept connections yet, and its socket.
+    pub async fn bind(options: ConnectionOptions) -> (Listener, TcpListener) {
+        let socket = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = socket.local_addr().expect("an address");
+        let listener = Listener {
+            manager: ConnectionManager::new(options),
+            held: Rc::default(),
+            stream_ended: Rc::default(),
+            held_back: Rc::default(),
+            address,
+        };
+        (listener, socket)
+    }
+
+    /// Accepts connections. Their complete responses have to be written within `write_limit`.
+    pub fn accept(&self, socket: TcpListener, write_limit: Option<WriteLimit>) {
         let service = Rc::new(ByteService {
-            held_back: held_back.clone(),
-            held: held.clone(),
+            held_back: self.held_back.clone(),
+            held: self.held.clone(),
             write_limit,
-            stream_ended: stream_ended.clone(),
+            stream_ended: self.stream_ended.clone(),
         });
-        let accepting = manager.clone();
-        spawn_local(async move { accepting.accept(listener, service).await });
-        Listener { manager, held, stream_ended, held_back, address }
+        let manager = self.manager.clone();
+        spawn_local(async move { manager.accept(socket, service).await });
     }
 
     pub async fn connect(&self) -> Client {
