A full listener closes nothing before a new connection needs the room

Change: a new connection is accepted first and held until there is room; only then is room made. At most one is held; others wait in the kernel's queue.

--- a/crates/http1/src/server/manager.rs
+++ b/crates/http1/src/server/manager.rs
@@ -56,28 +56,35 @@
     /// `LocalSet`.
     pub async fn accept<S: Service>(self: &Rc<Self>, listener: TcpListener, service: Rc<S>) {
         loop {
-            let ConnectionOptions { max_connections, accept_retry_delay, .. } = self.options.get();
-            // An accepted connection may already carry a request, which would be lost if it were closed.
-            // Beyond the maximum, new connections therefore wait in the kernel's queue until another
-            // connection has closed.
-            while self.open_count() >= max_connections {
-                self.make_room();
-                let _ = timeout(accept_retry_delay, self.closed.notified()).await;
-            }
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    self.wait_for_room().await;
                     let (number, connection) = self.add(stream);
                     spawn_local(self.clone().serve(number, connection, service.clone()));
                 }
                 Err(error) => {
                     service.accept_failed(&error);
                     self.make_room();
-                    sleep(accept_retry_delay).await;
+                    sleep(self.options.get().accept_retry_delay).await;
                 }
             }
         }
     }
 
+    /// Waits until an accepted connection may be served. It may already carry a request, which would be lost if it were
+    /// closed. Beyond the maximum, it is held, and others wait in the kernel's queue, until another connection has
+    /// closed. Nothing is closed before a new connection needs the room.
+    async fn wait_for_room(&self) {
+        loop {
+            let ConnectionOptions { max_connections, accept_retry_delay, .. } = self.options.get();
+            if self.open_count() < max_connections {
+                return;
+            }
+            self.make_room();
+            let _ = timeout(accept_retry_delay, self.closed.notified()).await;
+        }
+    }
+
     /// Starts to drain without closing idle connections yet. From now on, the service should send
     /// `Connection: close` in its responses.
     pub fn set_draining(&self) {
