--- a/crates/quillpulley/tests/relay_tree/main.rs
+++ b/crates/quillpulley/tests/relay_tree/main.rs
@@ -38,6 +38,11 @@
     }
 }
 
+/// The parameters of a run in which clients use half of the links of agents.
+fn with_clients(seed: u64) -> Parameters {
+    Parameters { client_traffic: 0.5, ..parameters(seed) }
+}
+
 fn environment(name: &str, default: u64) -> u64 {
     std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
 }
@@ -96,7 +101,7 @@
     check(parameters(1), 10_000, "0 | configure every 700\n 100 | cut b#1-3 + control 2 for 5000");
 }
 
-/// Guards against the same without churn, if the connections of these agents never close.
+/// Guards against many parents and children whose connections never close.
 #[test]
 fn the_state_stays_current_if_a_sixth_of_the_agents_loses_power() {
     check(parameters(1), 11_000, "0 | configure every 700\n 100 | power 16% for 3500");
@@ -144,25 +149,25 @@
     check(parameters(1), 8_000, "0 | configure every 700\n 0 | churn 27\n 1000 | freeze b#1 for 4000");
 }
 
-/// Guards against the same for the children of several lost parents.
+/// Guards against responses to the children of several lost parents that wait for each other.
 #[test]
 fn the_state_stays_current_if_the_first_three_agents_of_a_zone_freeze_beside_churn() {
     check(parameters(1), 10_000, "0 | configure every 700\n 0 | churn 27\n 1000 | freeze b#1-3 for 8000");
 }
 
-/// Guards against the same if connections to the lost parents hang.
+/// Guards against such responses after attempts to connect to the lost parents that hang.
 #[test]
 fn the_state_stays_current_if_the_first_three_agents_of_a_zone_lose_power_beside_churn() {
     check(parameters(1), 10_000, "0 | configure every 700\n 0 | churn 27\n 1000 | power b#1-3 for 8000");
 }
 
-/// Guards against the same if all control nodes but the root say nothing.
+/// Guards against such responses of the root, if no other control node says anything.
 #[test]
 fn the_state_stays_current_if_all_backups_freeze_beside_churn() {
     check(parameters(1), 8_000, "0 | configure every 700\n 0 | churn 27\n 1000 | freeze control 2 + control 3 + control 4 + control 5 for 4000");
 }
 
-/// Guards against the same while servers change at twice the rate.
+/// Guards against such responses while servers change at twice the rate.
 #[test]
 fn the_state_stays_current_if_the_first_agent_of_a_zone_is_cut_off_beside_twice_the_churn() {
     check(parameters(1), 8_000, "0 | configure every 700\n 0 | churn 57\n 1000 | cut b#1 for 5000");
@@ -197,8 +202,19 @@
 /// Guards against responses that fill the link of a parent, so that they arrive after the next subscription.
 #[test]
 fn the_state_stays_current_if_the_first_agent_of_a_zone_freezes_beside_churn_and_clients() {
-    let parameters = Parameters { client_traffic: 0.5, ..parameters(1) };
-    check(parameters, 10_000, "0 | configure every 700\n 0 | churn 27\n 1000 | freeze b#1 for 4000");
+    check(with_clients(1), 10_000, "0 | configure every 700\n 0 | churn 27\n 1000 | freeze b#1 for 4000");
+}
+
+/// Guards against long responses to children that have missed only a revision or two.
+#[test]
+fn the_state_stays_current_if_the_first_agent_of_a_zone_is_killed_beside_churn_and_clients() {
+    check(with_clients(1), 8_000, "0 | configure every 700\n 0 | churn 27\n 1000 | kill b#1 for 500");
+}
+
+/// Guards against long responses to the children of agents that are restarted in an orderly way.
+#[test]
+fn the_state_stays_current_if_two_agents_of_a_zone_are_restarted_beside_churn_and_clients() {
+    check(with_clients(1), 8_000, "0 | configure every 700\n 0 | churn 27\n 1000 | restart b#1-2");
 }
 
 /// Guards against sequences of faults that nobody has thought of.
