The stall timeout of a former parent doesn't begin anew after a trial

Cause: a parent that was used again after a failed trial had the whole stall timeout once more. If it had stalled during the trial (0.6 s), or before, another one was searched for only 1.0 to 1.5 s later.

Change: such a parent is given up when the revision has stalled for its timeout, but not before it has had 0.3 s to respond.

Test: a_former_parent_whose_revision_has_stalled_is_replaced_soon_after_a_trial fails on the former code (no attempt after 0.3 s).

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -38,8 +38,9 @@
 /// The age of the revision from which a parent that is an agent is given up, and control nodes are tried first. It leaves
 /// an agent the time to find another parent itself.
 const MAX_AGE_BELOW_AGENTS: Duration = Duration::from_millis(2_000);
-/// The time that an agent has after it became the parent even if the revision is older than that.
-const MIN_TIME_OF_AGENT: Duration = Duration::from_millis(300);
+/// The time that an agent, or a former parent that is used again, has after it became the parent even if the revision is
+/// older than that.
+const MIN_TIME_OF_PARENT: Duration = Duration::from_millis(300);
 /// How long the revision may take to advance with a better candidate before the former parent is used again.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(600);
 /// The penalties of a parent are cleared if its revision still advances this long after it became the parent.
@@ -414,12 +415,16 @@
     /// Returns when the parent will be considered stalled, unless the revision advances before then.
     fn deadline(&self) -> Duration {
         let Some(parent) = self.parent else { return Duration::MAX };
-        let stalled_at = self.revision_advanced_at.max(parent.since) + parent.stall_timeout;
+        let min_time = match parent.reason {
+            ParentChangeReason::FailedTrial => MIN_TIME_OF_PARENT,
+            _ => parent.stall_timeout,
+        };
+        let stalled_at = (self.revision_advanced_at + parent.stall_timeout).max(parent.since + min_time);
         match parent.candidate {
             ParentCandidate::ControlNode(_) => stalled_at,
             ParentCandidate::Agent(_) => {
                 let too_old_at = self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
-                stalled_at.min(too_old_at.max(parent.since + MIN_TIME_OF_AGENT))
+                stalled_at.min(too_old_at.max(parent.since + MIN_TIME_OF_PARENT))
             }
         }
     }
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -226,6 +226,25 @@
     );
 }
 
+/// Guards against configurations that are late because the stall timeout of a former parent begins anew after each trial.
+#[test]
+fn a_former_parent_whose_revision_has_stalled_is_replaced_soon_after_a_trial() {
+    run_timeline(
+        "
+            0 | candidates C1       | connect C1
+           10 | opened C1           | use C1
+          510 | candidates A1 C1 C2 |
+         1300 | advanced            |
+         2200 | advanced            |
+         3770 | advanced            | connect A1
+         4700 | opened A1           | use A1
+         5300 |                     | use C1, close A1
+         5590 |                     |
+         5600 |                     | connect C2
+        ",
+    );
+}
+
 #[test]
 fn the_former_parent_is_used_again_if_the_link_to_a_better_candidate_closes() {
     run_timeline(
