While the state is too old, an agent doesn't replace a control node

Cause: once the revision was two seconds old, control nodes were tried first, but what an open link led to still followed the ranks, in which agents come first. An agent that connected ended the attempts to connect to control nodes, so that these began anew after 0.3 s; and an agent that connected after a control node had become the parent began a trial of 0.6 s, before the control node could respond.

Change: the order of preference depends on the age of the revision in all of these places (ParentSearch::is_preferred).

Test: an_agent_does_not_replace_a_control_node_while_the_revision_is_too_old fails on the former code ('use A2, close A1, close C1' instead of 'use A2, close A1').

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -198,7 +198,7 @@
         }
         self.failures = 0;
         match (self.state, self.parent()) {
-            (SearchState::Attached { .. }, Some(parent)) if self.is_better(candidate, parent) => {
+            (SearchState::Attached { .. }, Some(parent)) if self.is_preferred(now, candidate, parent) => {
                 self.start_trial(now, candidate, parent, actions);
             }
             (SearchState::Attached { .. }, Some(_)) | (SearchState::Trial { .. }, _) => {
@@ -332,7 +332,7 @@
     /// penalties, returns the one whose penalty expires first. While the revision is too old and no control node is being
     /// tried, returns a control node even if only control nodes have penalties.
     fn next_candidate(&self, now: Duration) -> Option<ParentCandidate> {
-        let is_too_old = now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
+        let is_too_old = self.is_too_old(now);
         let needs_control_node = is_too_old && !self.is_trying_control_node();
         let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
         untried.min_by_key(|candidate| {
@@ -356,7 +356,7 @@
         let mut without_penalty =
             self.candidates.iter().filter(|c| self.penalties.remaining(now, **c).is_zero());
         let Some(best) = without_penalty.next().copied() else { return };
-        if self.attempts.is_empty() && self.is_better(best, parent.candidate) {
+        if self.attempts.is_empty() && self.is_preferred(now, best, parent.candidate) {
             self.connect(best, actions);
         }
     }
@@ -366,12 +366,12 @@
         actions.push(Action::Connect(candidate));
     }
 
-    /// Ends the search with the current parent, and cancels the attempts to connect to candidates that are not better.
+    /// Ends the search with the current parent, and cancels the attempts to connect to candidates that are not preferred.
     fn keep_parent(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(parent) = self.parent else { return };
         let attempts = std::mem::take(&mut self.attempts);
         let (kept, worse) =
-            attempts.into_iter().partition(|attempt| self.is_better(*attempt, parent.candidate));
+            attempts.into_iter().partition(|attempt| self.is_preferred(now, *attempt, parent.candidate));
         self.attempts = kept;
         actions.extend(worse.into_iter().map(Action::Close));
         let next_review = now + self.randomized(REVIEW_INTERVAL, 0.25);
@@ -401,6 +401,21 @@
         is_former || self.parent() == Some(candidate) || self.attempts.contains(&candidate)
     }
 
+    /// Returns whether the revision is so old that control nodes are preferred to agents.
+    fn is_too_old(&self, now: Duration) -> bool {
+        now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS
+    }
+
+    /// Returns whether one candidate is to replace another: it is a control node and the other an agent, if the revision is
+    /// too old, or else it is better.
+    fn is_preferred(&self, now: Duration, candidate: ParentCandidate, other: ParentCandidate) -> bool {
+        match (candidate, other) {
+            (ParentCandidate::ControlNode(_), ParentCandidate::Agent(_)) if self.is_too_old(now) => true,
+            (ParentCandidate::Agent(_), ParentCandidate::ControlNode(_)) if self.is_too_old(now) => false,
+            _ => self.is_better(candidate, other),
+        }
+    }
+
     /// Returns whether one candidate is better than another. A process that is no longer a candidate ranks below all
     /// candidates.
     fn is_better(&self, candidate: ParentCandidate, other: ParentCandidate) -> bool {
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -323,6 +323,35 @@
     );
 }
 
+/// Guards against configurations that are late because an agent that waits itself connects faster than a control node, and
+/// ends the attempt to connect to that.
+#[test]
+fn an_agent_does_not_replace_a_control_node_while_the_revision_is_too_old() {
+    run_timeline(
+        "
+            0 | candidates A1 A2 C1 | connect A1
+           10 | opened A1           | use A1
+          300 | advanced            |
+         1910 |                     | connect A2
+         2160 |                     | connect C1
+         2350 | opened A2           | use A2, close A1
+         2410 | opened C1           | use C1
+         2420 | advanced            | close A2
+        ",
+    );
+    run_timeline(
+        "
+            0 | candidates A1 A2 C1 | connect A1
+           10 | opened A1           | use A1
+          300 | advanced            |
+         1910 |                     | connect A2
+         2160 |                     | connect C1
+         2410 | opened C1           | use C1, close A1, close A2
+         2420 | advanced            |
+        ",
+    );
+}
+
 #[test]
 fn an_agent_that_becomes_the_parent_late_has_some_time() {
     run_timeline(
