The missed changes of a child are looked for only when they may be sent

What callers saw: nothing yet; a fault of 'A child that changes its parent is sent the changes that it missed', found in review.

Cause: a parent looked for the missed changes of each waiting child in its whole history (hash and copy of each key) at every event: subscriptions, updates and ticks. Only then it noticed that the limit of bytes was reached. The work of n children that come back together grew with their square.

Change: the limit is checked before the history is read.

--- a/crates/state-sync/src/updates.rs
+++ b/crates/state-sync/src/updates.rs
@@ -20,8 +20,8 @@
 
 /// How a node responds to a subscription.
 enum RepairDecision {
-    /// Do not respond yet: the node is at an older epoch than the child, its own state must not be sent, or
-    /// the two states differ although their revisions are equal.
+    /// Do not respond yet: the node is at an older epoch than the child, its own state must not be sent, the two
+    /// states differ although their revisions are equal, or the limit of bytes is reached.
     Wait,
     /// Respond without items: the child is at the node's revision or at a later one in the same epoch, so
     /// that later updates are enough.
@@ -160,13 +160,12 @@
             match self.decide_repair(&subscription) {
                 RepairDecision::Wait => {}
                 RepairDecision::UpToDate => self.send_keys(child, subscription.revision, &[], actions),
-                RepairDecision::SendKeys(keys) if self.may_send_items() => {
+                RepairDecision::SendKeys(keys) => {
                     self.send_keys(child, subscription.revision, &keys, actions);
                 }
                 RepairDecision::SendRanges(ranges) => {
                     need_ranges.push((child, subscription.revision, ranges))
                 }
-                RepairDecision::SendKeys(_) => {}
             }
         }
         for (child, base, ranges) in need_ranges {
@@ -190,7 +189,7 @@
         let ranges = self.store.ranges_differing_from(&subscription.digests);
         match ranges.is_empty() {
             true => RepairDecision::UpToDate,
-            false if self.revision == subscription.revision => RepairDecision::Wait,
+            false if self.revision == subscription.revision || !self.may_send_items() => RepairDecision::Wait,
             false => match self.changed_keys_in(subscription.revision, &ranges) {
                 Some(keys) => RepairDecision::SendKeys(keys),
                 None => RepairDecision::SendRanges(ranges),
--- a/crates/state-sync/tests/change_history.rs
+++ b/crates/state-sync/tests/change_history.rs
@@ -5,9 +5,9 @@
 
 use network::timeline::run_timeline;
 use network::Network;
-use quillpulley_protocol::Revision;
-use quillpulley_state_sync::{Event, Options, SyncNode};
-use std::time::Duration;
+use quillpulley_protocol::{Body, Revision, Subscribe};
+use quillpulley_state_sync::{Change, Event, Options, SyncNode};
+use std::time::{Duration, Instant};
 
 const ROOT: usize = 0;
 const RELAY: usize = 1;
@@ -167,3 +167,31 @@
     assert_eq!(network.items(2).len(), ITEMS);
     assert_eq!(network.stats[RELAY].items_sent, ITEMS);
 }
+
+/// Guards against parents that have no processor time left, because they look for the missed changes of every waiting child
+/// at each event, though they may not send more at that time.
+#[test]
+fn children_that_wait_for_their_response_cost_their_parent_little() {
+    const CHILDREN: u32 = 100;
+    const MAX_COST: Duration = Duration::from_secs(2);
+    let now = Duration::from_secs(1);
+    let mut actions = Vec::new();
+    let mut root = SyncNode::new(Options::control_node("root"));
+    root.handle(now, Event::BecomeRoot { epoch: 1 }, &mut actions);
+    root.handle(now, Event::Publish(changes(1)), &mut actions);
+    let subscribe = Subscribe { revision: root.revision(), digests: root.store().digests().to_vec() };
+    root.handle(now, Event::Publish(changes(2)), &mut actions);
+    let began_at = Instant::now();
+    for child in 0..CHILDREN {
+        root.handle(now, Event::ChildUp(child), &mut actions);
+        let frame = Body::Subscribe(Box::new(subscribe.clone()));
+        root.handle(now, Event::ChildFrame(child, frame), &mut actions);
+    }
+    let cost = began_at.elapsed();
+    assert_eq!(root.waiting_children(), CHILDREN as usize - 1);
+    assert!(cost < MAX_COST, "{cost:?}");
+}
+
+fn changes(value: u8) -> Vec<Change> {
+    items(0..10 * ITEMS, value).into_iter().map(|(key, value)| Change { key, value }).collect()
+}
