--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -38,8 +38,9 @@
 /// The age of the revision from which a parent that is an agent is given up, and control nodes are tried first. It leaves
 /// an agent the time to find another parent itself.
 const MAX_AGE_BELOW_AGENTS: Duration = Duration::from_millis(2_000);
-/// The time that an agent has after it became the parent even if the revision is older than that.
-const MIN_TIME_OF_AGENT: Duration = Duration::from_millis(300);
+/// The time that an agent, or a former parent that is used again, has after it became the parent even if the revision is
+/// older than that.
+const MIN_TIME_OF_PARENT: Duration = Duration::from_millis(300);
 /// How long the revision may take to advance with a better candidate before the former parent is used again.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(600);
 /// The penalties of a parent are cleared if its revision still advances this long after it became the parent.
@@ -196,7 +197,7 @@
         }
         self.failures = 0;
         match (self.state, self.parent()) {
-            (SearchState::Attached { .. }, Some(parent)) if self.is_better(candidate, parent) => {
+            (SearchState::Attached { .. }, Some(parent)) if self.is_preferred(now, candidate, parent) => {
                 self.start_trial(now, candidate, parent, actions);
             }
             (SearchState::Attached { .. }, Some(_)) | (SearchState::Trial { .. }, _) => {
@@ -348,10 +349,6 @@
         tried.any(|candidate| matches!(candidate, ParentCandidate::ControlNode(_)))
     }
 
-    fn is_too_old(&self, now: Duration) -> bool {
-        now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS
-    }
-
     /// Returns whether there is room for an attempt to connect to this candidate. If the revision is too old, the oldest
     /// attempt to an agent is cancelled in favour of a control node.
     fn make_room(&mut self, now: Duration, next: ParentCandidate, actions: &mut Vec<Action>) -> bool {
@@ -380,7 +377,7 @@
         let mut without_penalty =
             self.candidates.iter().filter(|c| self.penalties.remaining(now, **c).is_zero());
         let Some(best) = without_penalty.next().copied() else { return };
-        if self.attempts.is_empty() && self.is_better(best, parent.candidate) {
+        if self.attempts.is_empty() && self.is_preferred(now, best, parent.candidate) {
             self.connect(now, best, actions);
         }
     }
@@ -390,11 +387,12 @@
         actions.push(Action::Connect(candidate));
     }
 
-    /// Ends the search with the current parent, and cancels the attempts to connect to candidates that are not better.
+    /// Ends the search with the current parent, and cancels the attempts to connect to candidates that are not preferred.
     fn keep_parent(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let Some(parent) = self.parent else { return };
-        let (candidates, rank) = (&self.candidates, self.rank(parent.candidate));
-        let worse = self.attempts.take_unless(|candidate| rank_among(candidates, candidate) < rank);
+        let mut attempts = std::mem::take(&mut self.attempts);
+        let worse = attempts.take_unless(|candidate| self.is_preferred(now, candidate, parent.candidate));
+        self.attempts = attempts;
         worse.into_iter().for_each(|attempt| self.cancel(now, attempt, actions));
         let next_review = now + self.randomized(REVIEW_INTERVAL, 0.25);
         self.change_state(SearchState::Attached { next_review });
@@ -417,6 +415,21 @@
         is_former || is_attempted || self.parent() == Some(candidate)
     }
 
+    /// Returns whether the revision is so old that control nodes are preferred to agents.
+    fn is_too_old(&self, now: Duration) -> bool {
+        now >= self.revision_advanced_at + MAX_AGE_BELOW_AGENTS
+    }
+
+    /// Returns whether one candidate is to replace another: it is a control node and the other an agent, if the revision is
+    /// too old, or else it is better.
+    fn is_preferred(&self, now: Duration, candidate: ParentCandidate, other: ParentCandidate) -> bool {
+        match (candidate, other) {
+            (ParentCandidate::ControlNode(_), ParentCandidate::Agent(_)) if self.is_too_old(now) => true,
+            (ParentCandidate::Agent(_), ParentCandidate::ControlNode(_)) if self.is_too_old(now) => false,
+            _ => self.is_better(candidate, other),
+        }
+    }
+
     /// Returns whether one candidate is better than another. A process that is no longer a candidate ranks below all
     /// candidates.
     fn is_better(&self, candidate: ParentCandidate, other: ParentCandidate) -> bool {
@@ -424,18 +437,23 @@
     }
 
     fn rank(&self, candidate: ParentCandidate) -> usize {
-        rank_among(&self.candidates, candidate)
+        let rank = self.candidates.iter().position(|known| *known == candidate);
+        rank.unwrap_or(usize::MAX)
     }
 
     /// Returns when the parent will be considered stalled, unless the revision advances before then.
     fn deadline(&self) -> Duration {
         let Some(parent) = self.parent else { return Duration::MAX };
-        let stalled_at = self.revision_advanced_at.max(parent.since) + parent.stall_timeout;
+        let min_time = match parent.reason {
+            ParentChangeReason::FailedTrial => MIN_TIME_OF_PARENT,
+            _ => parent.stall_timeout,
+        };
+        let stalled_at = (self.revision_advanced_at + parent.stall_timeout).max(parent.since + min_time);
         match parent.candidate {
             ParentCandidate::ControlNode(_) => stalled_at,
             ParentCandidate::Agent(_) => {
                 let too_old_at = self.revision_advanced_at + MAX_AGE_BELOW_AGENTS;
-                stalled_at.min(too_old_at.max(parent.since + MIN_TIME_OF_AGENT))
+                stalled_at.min(too_old_at.max(parent.since + MIN_TIME_OF_PARENT))
             }
         }
     }
@@ -464,9 +482,3 @@
         time.mul_f64(1.0 - fraction + 2.0 * fraction * self.random.f64())
     }
 }
-
-/// Returns the position of a candidate in the order of preference. A process that is no longer a candidate comes last.
-fn rank_among(candidates: &[ParentCandidate], candidate: ParentCandidate) -> usize {
-    let position = candidates.iter().position(|known| *known == candidate);
-    position.unwrap_or(usize::MAX)
-}
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -226,6 +226,25 @@
     );
 }
 
+/// Guards against configurations that are late because the stall timeout of a former parent begins anew after each trial.
+#[test]
+fn a_former_parent_whose_revision_has_stalled_is_replaced_soon_after_a_trial() {
+    run_timeline(
+        "
+            0 | candidates C1       | connect C1
+           10 | opened C1           | use C1
+          510 | candidates A1 C1 C2 |
+         1300 | advanced            |
+         2200 | advanced            |
+         3770 | advanced            | connect A1
+         4700 | opened A1           | use A1
+         5300 |                     | use C1, close A1
+         5590 |                     |
+         5600 |                     | connect C2
+        ",
+    );
+}
+
 #[test]
 fn the_former_parent_is_used_again_if_the_link_to_a_better_candidate_closes() {
     run_timeline(
@@ -294,7 +313,7 @@
          1810 |                           | connect A3
          2060 |                           | connect A4
          2310 |                           | close A2, connect C1
-         2320 | opened C1                 | use C1
+         2320 | opened C1                 | use C1, close A3, close A4
          2330 | advanced                  |
         ",
     );
@@ -340,6 +359,35 @@
     assert_eq!(failed_after(520, "opened C2"), "C1", "C3 had no time to answer");
 }
 
+/// Guards against configurations that are late because an agent that waits itself connects faster than a control node, and
+/// ends the attempt to connect to that.
+#[test]
+fn an_agent_does_not_replace_a_control_node_while_the_revision_is_too_old() {
+    run_timeline(
+        "
+            0 | candidates A1 A2 C1 | connect A1
+           10 | opened A1           | use A1
+          300 | advanced            |
+         1910 |                     | connect A2
+         2160 |                     | connect C1
+         2350 | opened A2           | use A2, close A1
+         2410 | opened C1           | use C1
+         2420 | advanced            | close A2
+        ",
+    );
+    run_timeline(
+        "
+            0 | candidates A1 A2 C1 | connect A1
+           10 | opened A1           | use A1
+          300 | advanced            |
+         1910 |                     | connect A2
+         2160 |                     | connect C1
+         2410 | opened C1           | use C1, close A1, close A2
+         2420 | advanced            |
+        ",
+    );
+}
+
 #[test]
 fn an_agent_that_becomes_the_parent_late_has_some_time() {
     run_timeline(
