Two control nodes with penalties are tried at a time once the state is too old

Change: two of the three concurrent attempts are for control nodes, one is left for agents.

Test: two_control_nodes_with_penalties_are_tried_at_a_time_once_the_revision_is_too_old fails on the former code ('connect A3' instead of 'connect C2').

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -28,6 +28,9 @@
 const ATTEMPT_STAGGER: Duration = Duration::from_millis(250);
 /// The maximum number of concurrent connection attempts.
 const MAX_CONCURRENT_ATTEMPTS: usize = 3;
+/// While the revision is too old, agents are tried only if this many control nodes are being tried. The other attempts are
+/// left for agents, which may work where no control node can be reached.
+const MIN_CONTROL_NODE_ATTEMPTS: usize = MAX_CONCURRENT_ATTEMPTS - 1;
 /// The backoff after a failed attempt. It doubles with each consecutive failure from the minimum to the maximum, and is
 /// randomized by up to half of itself in either direction.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
@@ -329,11 +332,12 @@
     }
 
     /// Returns the best candidate without a penalty, or the best control node if the revision is too old. If all have
-    /// penalties, returns the one whose penalty expires first. While the revision is too old and no control node is being
-    /// tried, returns a control node even if only control nodes have penalties.
+    /// penalties, returns the one whose penalty expires first. While the revision is too old and fewer than
+    /// [`MIN_CONTROL_NODE_ATTEMPTS`] control nodes are being tried, returns a control node even if only control nodes have
+    /// penalties.
     fn next_candidate(&self, now: Duration) -> Option<ParentCandidate> {
         let is_too_old = self.is_too_old(now);
-        let needs_control_node = is_too_old && !self.is_trying_control_node();
+        let needs_control_node = is_too_old && self.control_nodes_tried() < MIN_CONTROL_NODE_ATTEMPTS;
         let untried = self.candidates.iter().copied().filter(|candidate| !self.is_in_use(*candidate));
         untried.min_by_key(|candidate| {
             let is_agent = matches!(candidate, ParentCandidate::Agent(_));
@@ -345,9 +349,10 @@
         })
     }
 
-    fn is_trying_control_node(&self) -> bool {
-        let mut tried = self.attempts.iter().copied().chain(self.parent());
-        tried.any(|candidate| matches!(candidate, ParentCandidate::ControlNode(_)))
+    /// Returns the number of control nodes that are connecting or are the parent.
+    fn control_nodes_tried(&self) -> usize {
+        let tried = self.attempts.iter().copied().chain(self.parent());
+        tried.filter(|candidate| matches!(candidate, ParentCandidate::ControlNode(_))).count()
     }
 
     /// Connects to the best candidate without a penalty, if it is better than the parent and no attempt is in progress.
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -323,6 +323,34 @@
     );
 }
 
+/// Guards against configurations that are late because control nodes with penalties are tried one after another.
+#[test]
+fn two_control_nodes_with_penalties_are_tried_at_a_time_once_the_revision_is_too_old() {
+    run_timeline(
+        "
+            0 | candidates C1 C2          | connect C1
+           10 | lost C1                   |
+          100 |                           | connect C2
+          110 | lost C2                   |
+          300 |                           | connect C1
+          310 | lost C1                   |
+          700 |                           | connect C2
+          710 | lost C2                   |
+          720 | candidates A1 A2 A3 C1 C2 |
+         1400 |                           | connect A1
+         1410 | opened A1                 | use A1
+         1500 | advanced                  |
+         3010 |                           | connect A2
+         3020 | opened A2                 | use A2, close A1
+         3490 |                           |
+         3500 |                           | connect C1
+         3750 |                           | connect C2
+         4000 |                           | connect A3
+         4010 | opened C2                 | use C2, close A2, close A3
+        ",
+    );
+}
+
 /// Guards against configurations that are late because an agent that waits itself connects faster than a control node, and
 /// ends the attempt to connect to that.
 #[test]
