A control node that connects while the state is too old has its whole timeout

Cause: with 'While the state is too old, an agent doesn't replace a control node', a control node that connected while an agent was the parent for 0.3 s began a trial: if its response took longer than 0.6 s, the agent, which had nothing for two seconds, was used again.

Change: the control node replaces that agent at once, as it does during a search.

Test: an_agent_does_not_replace_a_control_node_while_the_revision_is_too_old, which now says so, fails on the former code ('use C1' instead of 'use C1, close A2').

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -201,6 +201,11 @@
         }
         self.failures = 0;
         match (self.state, self.parent()) {
+            (SearchState::Attached { .. }, Some(ParentCandidate::Agent(_)))
+                if self.is_too_old(now) && matches!(candidate, ParentCandidate::ControlNode(_)) =>
+            {
+                self.switch_to(now, candidate, actions);
+            }
             (SearchState::Attached { .. }, Some(parent)) if self.is_preferred(now, candidate, parent) => {
                 self.start_trial(now, candidate, parent, actions);
             }
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -363,8 +363,9 @@
          1910 |                     | connect A2
          2160 |                     | connect C1
          2350 | opened A2           | use A2, close A1
-         2410 | opened C1           | use C1
-         2420 | advanced            | close A2
+         2410 | opened C1           | use C1, close A2
+         3000 |                     |
+         3100 | advanced            |
         ",
     );
     run_timeline(
