--- a/crates/quillpulley/src/agent/parent_search/attempts.rs
+++ b/crates/quillpulley/src/agent/parent_search/attempts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// The maximum number of concurrent connection attempts.
-const MAX_CONCURRENT_ATTEMPTS: usize = 3;
+pub const MAX_CONCURRENT_ATTEMPTS: usize = 3;
 
 /// A connection attempt in progress.
 #[derive(Copy, Clone, Debug)]
