A backlog of new connections is accepted only up to the maximum

What callers saw: nothing yet; a listener held more connections than its limit for a moment, and with them more memory and descriptors than its budget.

Cause: an accepted connection was counted when its task first ran. While a backlog waits in the kernel's queue, accepting never has to wait, so many connections were accepted before any of them was counted.

Why it works: the connection is added to the manager in the same step in which it is accepted.

So where the grace of a connection without a request is the shorter one, a new connection waits for it instead.

--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -186,6 +186,11 @@
         self.phase.get().idle_since().is_none()
     }
 
+    /// Returns whether the connection is idle and no complete head of a request has arrived on it.
+    pub(crate) fn awaits_first_request(&self) -> bool {
+        !self.has_requested.get() && !self.is_busy()
+    }
+
     /// Returns whether the connection has been idle for longer than `idle_grace`.
     pub(crate) fn is_idle(&self, idle_grace: Duration) -> bool {
         self.phase.get().idle_since().is_some_and(|since| since.elapsed() > idle_grace)
--- a/crates/http1/src/server/manager.rs
+++ b/crates/http1/src/server/manager.rs
@@ -59,7 +59,8 @@
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(self.clone().serve(stream, service.clone()));
+                    let (number, connection) = self.add(stream);
+                    spawn_local(self.clone().serve(number, connection, service.clone()));
                 }
                 Err(error) => {
                     service.accept_failed(&error);
@@ -151,20 +152,34 @@
         true
     }
 
-    /// Asks the connection that should be closed first to close. Returns whether any may be closed.
+    /// Asks the connection that should be closed first to close. Returns whether any may be closed, now or once the grace
+    /// of a connection without a request is over.
     fn close_most_idle(&self) -> bool {
         let options = self.options.get();
         let connections = self.connections.borrow();
+        let is_room_expected = options.first_request_grace < options.idle_grace
+            && connections.values().any(|each| each.awaits_first_request());
         let ranked = connections.values().filter_map(|each| Some((each.close_rank(&options)?, each)));
-        let Some((_, connection)) = ranked.min_by_key(|(rank, _)| *rank) else { return false };
+        let closable = ranked.filter(|(_, each)| !(is_room_expected && each.has_requested()));
+        let Some((_, connection)) = closable.min_by_key(|(rank, _)| *rank) else { return is_room_expected };
         connection.request_close();
         true
     }
 
-    async fn serve<S: Service>(self: Rc<Self>, stream: TcpStream, service: Rc<S>) {
+    /// Adds an accepted connection, which counts as open from now on. Returns its number.
+    fn add(&self, stream: TcpStream) -> (u64, Rc<ServerConnection>) {
         let number = self.next_number.replace(self.next_number.get() + 1);
         let connection = Rc::new(ServerConnection::new(Socket::new(stream), self.options.get()));
         self.connections.borrow_mut().insert(number, connection.clone());
+        (number, connection)
+    }
+
+    async fn serve<S: Service>(
+        self: Rc<Self>,
+        number: u64,
+        connection: Rc<ServerConnection>,
+        service: Rc<S>,
+    ) {
         if connection.serve(&service, &self.draining).await == ServeEnd::Linger {
             connection.linger().await;
         }
--- a/crates/http1/src/server/options.rs
+++ b/crates/http1/src/server/options.rs
@@ -34,7 +34,8 @@
     /// its way.
     pub idle_grace: Duration,
     /// The minimum idle time before a connection on which no complete head of a request has arrived is closed
-    /// to make room for a new one.
+    /// to make room for a new one. If it is shorter than [`ConnectionOptions::idle_grace`], a new connection waits for it
+    /// rather than displace a client that has sent requests.
     pub first_request_grace: Duration,
     /// The minimum time for which a request must have been arriving before its connection is closed to make room
     /// for a new one. If it is `None`, connections are not closed for that.
--- a/crates/http1/tests/server/support.rs
+++ b/crates/http1/tests/server/support.rs
@@ -210,16 +210,26 @@
 
     /// Starts a listener whose responses have to be written within `write_time`.
     pub async fn start_with_write_time(options: ConnectionOptions, write_time: Option<Duration>) -> Listener {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let address = listener.local_addr().expect("an address");
+        let (listener, socket) = Listener::bind(options).await;
+        listener.accept(socket, write_time);
+        listener
+    }
+
+    /// Creates a listener that does not accept connections yet, and its socket.
+    pub async fn bind(options: ConnectionOptions) -> (Listener, TcpListener) {
+        let socket = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = socket.local_addr().expect("an address");
         let manager = ConnectionManager::new(options);
-        let held = Rc::new(Held::default());
-        let stream_ended = Rc::new(Notify::new());
-        let service =
-            Rc::new(ByteService { held: held.clone(), write_time, stream_ended: stream_ended.clone() });
-        let accepting = manager.clone();
-        spawn_local(async move { accepting.accept(listener, service).await });
-        Listener { manager, held, stream_ended, address }
+        let listener = Listener { manager, held: Rc::default(), stream_ended: Rc::default(), address };
+        (listener, socket)
+    }
+
+    /// Accepts connections. Their responses have to be written within `write_time`.
+    pub fn accept(&self, socket: TcpListener, write_time: Option<Duration>) {
+        let (held, stream_ended) = (self.held.clone(), self.stream_ended.clone());
+        let service = Rc::new(ByteService { held, write_time, stream_ended });
+        let manager = self.manager.clone();
+        spawn_local(async move { manager.accept(socket, service).await });
     }
 
     pub async fn connect(&self) -> Client {
