Callers without a Hello no longer keep processes from opening links

What callers saw: beside 256 silent connections at the links of a control node (128 at an agent), every other process of the system was turned away for up to a second; so were all beyond a Hello that comes byte by byte.

Cause: one limit counted open links and connections whose Hello had not arrived, and what came beyond it was closed.

Why it works: connections without a Hello are counted apart from open links (max_handshakes, 256). When there is no room, the oldest of them is closed for the new one, after 25 ms at the earliest and only once what it has sent was read; open links are never closed for that. A Hello beyond the limit of open links closes its connection. An accepted connection counts at once, so that a backlog is not accepted beyond the limit. The kernel's queue of links has 4,096 places, as a dropped first packet would cost a second; that of clients and operators stays at 256. When accepting fails for want of descriptors, the oldest connection without a Hello is closed.

Evidence: tests/peer.rs, 600 callers and default options.

--- a/crates/quillpulley/src/agent/mod.rs
+++ b/crates/quillpulley/src/agent/mod.rs
@@ -24,7 +24,7 @@
 pub mod parent_search;
 mod peer_directory;
 
-use crate::peer::{bind, bind_datagrams};
+use crate::peer::{bind_datagrams, bind_links};
 use crate::signals::{self, ProcessSignal};
 use crate::{runtime, HostError, Settings};
 use host::Host;
@@ -55,8 +55,8 @@
         let agents = SocketAddr::from((settings.ip, settings.agent_port()));
         let proxy = SocketAddr::from((Ipv4Addr::LOCALHOST, settings.proxy_port()));
         Ok(AgentSockets {
-            agents: bind(agents).await?,
-            proxy: bind(proxy).await?,
+            agents: bind_links(agents).await?,
+            proxy: bind_links(proxy).await?,
             datagrams: bind_datagrams(agents).await?,
         })
     }
--- a/crates/quillpulley/src/control/replica_host/process.rs
+++ b/crates/quillpulley/src/control/replica_host/process.rs
@@ -8,7 +8,7 @@
 use crate::control::directory::{self, DirectoryHandle};
 use crate::control::discovery::fetcher::{Fetched, Fetcher};
 use crate::control::http;
-use crate::peer::{bind, PeerEvent, Peers};
+use crate::peer::{bind, bind_links, PeerEvent, Peers};
 use crate::signals::{self, ProcessSignal};
 use crate::{runtime, HostError, Settings};
 use quillpulley_control_state::ControlState;
@@ -84,7 +84,7 @@
     log::info!(node:% = me, name = settings.node_name.as_str(), index; "control node started");
 
     let (peers, peer_events) = Peers::new(hello(&settings, me)?);
-    peers.listen(bind(SocketAddr::from((settings.ip, settings.control_port()))).await?);
+    peers.listen(bind_links(SocketAddr::from((settings.ip, settings.control_port()))).await?);
     let directory = DirectoryHandle::default();
     if let Some(address) = settings.listen.directory {
         let max_time_to_live_s = settings.bounds.ttl_max.as_secs_f64();
--- a/crates/quillpulley/src/peer/link.rs
+++ b/crates/quillpulley/src/peer/link.rs
@@ -1,6 +1,6 @@
 //! The tasks that accept connections, and that read and write the frames of one link.
 
-use super::link_table::SharedOutbound;
+use super::link_table::{Admission, SharedOutbound};
 use super::{socket, LinkId, Shared};
 use displaydoc::Display;
 use log::{debug, warn};
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout, Instant};
 
 /// The maximum time to establish a TCP connection. Waiting a little longer would not help: if the first packet is lost,
@@ -49,26 +49,47 @@
 pub async fn accept(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, address)) => accept_stream(&shared, stream, address),
+            Ok((stream, address)) => {
+                if is_admitted(&shared).await {
+                    accept_stream(&shared, stream, address);
+                } else {
+                    debug!(address:% = address; "too many open links; closing a new connection");
+                }
+            }
             Err(error) => {
                 warn!(error:% = error; "cannot accept a connection: the limit of open files may be too low");
+                shared.link_table.borrow_mut().evict_oldest();
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-fn accept_stream(shared: &Rc<Shared>, stream: TcpStream, address: SocketAddr) {
-    if shared.incoming_count.get() >= shared.options.max_incoming {
-        debug!(address:% = address; "too many incoming connections; closing a new one");
-        return;
+/// Waits until there is room for another connection. Returns whether it is admitted.
+async fn is_admitted(shared: &Shared) -> bool {
+    loop {
+        let mut admission = shared.link_table.borrow().admission();
+        if admission == Admission::EvictOldest {
+            // What the oldest connection has sent may not have been read yet.
+            yield_now().await;
+            admission = shared.link_table.borrow().admission();
+        }
+        match admission {
+            Admission::Admitted => return true,
+            Admission::Refused => return false,
+            Admission::EvictOldest => shared.link_table.borrow_mut().evict_oldest(),
+            Admission::Wait(time) => {
+                let _ = timeout(time, shared.handshake_ended.notified()).await;
+            }
+        }
     }
-    shared.incoming_count.set(shared.incoming_count.get() + 1);
+}
+
+fn accept_stream(shared: &Rc<Shared>, stream: TcpStream, address: SocketAddr) {
     let (link, outbound) = shared.link_table.borrow_mut().add_incoming(address);
     let shared = shared.clone();
     spawn_local(async move {
         let reason = run(&shared, link, outbound, stream).await;
-        shared.incoming_count.set(shared.incoming_count.get() - 1);
         finish(&shared, link, address, reason);
     });
 }
@@ -111,6 +132,7 @@
         _ => debug!(link:% = link, address:% = address, reason:% = reason; "link closed"),
     }
     shared.link_table.borrow_mut().link_closed(link);
+    shared.handshake_ended.notify_waiters();
 }
 
 async fn run(shared: &Shared, link: LinkId, outbound: SharedOutbound, stream: TcpStream) -> CloseReason {
@@ -132,6 +154,7 @@
 ) -> Result<std::convert::Infallible, CloseReason> {
     let hello = connection.receive_hello().await?;
     shared.link_table.borrow_mut().hello_received(link, hello);
+    shared.handshake_ended.notify_waiters();
     loop {
         let body = connection.receive_frame(shared.options.idle_timeout).await?;
         shared.link_table.borrow_mut().frame_received(link, body);
--- a/crates/quillpulley/src/peer/mod.rs
+++ b/crates/quillpulley/src/peer/mod.rs
@@ -13,16 +13,17 @@
 
 use link_table::LinkTable;
 use quillpulley_protocol::{Body, FrameEncoder, Hello, Lane};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
 
-pub use socket::{bind, bind_datagrams};
+pub use socket::{bind, bind_datagrams, bind_links};
 
 /// The identifier of a link. It is unique within the process and never reused; later links have greater identifiers.
 #[derive(Copy, Clone, Eq, PartialEq, Ord, PartialOrd, Hash, Debug)]
@@ -77,8 +78,11 @@
 pub struct PeerOptions {
     /// A link on which no bytes were received for this long is closed. `None` means no limit.
     pub idle_timeout: Option<Duration>,
-    /// The maximum number of incoming connections. Further ones are closed at once.
+    /// The maximum number of open links that peers have initiated. Further connections are closed at once.
     pub max_incoming: usize,
+    /// The maximum number of incoming connections on which no `Hello` has arrived yet. When it is reached, the oldest of
+    /// them is closed to make room for a new one.
+    pub max_handshakes: usize,
     /// The maximum number of queued bytes of each link, not counting [`Lane::State`]. A single message may exceed it if
     /// nothing else is queued.
     pub max_queued_bytes: usize,
@@ -86,7 +90,12 @@
 
 impl Default for PeerOptions {
     fn default() -> Self {
-        PeerOptions { idle_timeout: None, max_incoming: 256, max_queued_bytes: 8 * 1024 * 1024 }
+        PeerOptions {
+            idle_timeout: None,
+            max_incoming: 256,
+            max_handshakes: 256,
+            max_queued_bytes: 8 * 1024 * 1024,
+        }
     }
 }
 
@@ -103,7 +112,8 @@
     options: PeerOptions,
     link_table: RefCell<LinkTable>,
     encoder: RefCell<FrameEncoder>,
-    incoming_count: Cell<usize>,
+    /// Notified when a connection has got its `Hello` or has ended without one.
+    handshake_ended: Notify,
 }
 
 impl Peers {
@@ -123,9 +133,9 @@
         let shared = Shared {
             hello: encoded_hello,
             options,
-            link_table: RefCell::new(LinkTable::new(events, options.max_queued_bytes)),
+            link_table: RefCell::new(LinkTable::new(events, options)),
             encoder: RefCell::new(encoder),
-            incoming_count: Cell::new(0),
+            handshake_ended: Notify::new(),
         };
         (Rc::new(Peers { shared: Rc::new(shared), accept_tasks: RefCell::default() }), receiver)
     }
--- a/crates/quillpulley/src/peer/socket.rs
+++ b/crates/quillpulley/src/peer/socket.rs
@@ -19,6 +19,8 @@
 const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// The maximum number of connections that wait in the kernel to be accepted.
 const BACKLOG: i32 = 256;
+/// The same for links. A connection beyond it would be retransmitted only after a second, longer than a link may take.
+const LINK_BACKLOG: i32 = 4_096;
 
 /// Sets the options of a connection between processes of the system: no delay for small messages, and timeouts that
 /// detect the loss of the other machine sooner than the defaults of the kernel. Failures are only logged.
@@ -40,7 +42,15 @@
 /// # Errors
 /// [`HostError::Listen`] if binding still fails after that time.
 pub async fn bind(address: SocketAddr) -> Result<TcpListener, HostError> {
-    bind_with_retry(address, || listen(address)).await
+    bind_with_retry(address, || listen(address, BACKLOG)).await
+}
+
+/// Listens on a TCP address for links. Retries as [`bind`] does.
+///
+/// # Errors
+/// [`HostError::Listen`] if binding still fails after that time.
+pub async fn bind_links(address: SocketAddr) -> Result<TcpListener, HostError> {
+    bind_with_retry(address, || listen(address, LINK_BACKLOG)).await
 }
 
 /// Binds a UDP socket. Retries for up to two seconds if binding fails.
@@ -64,11 +74,11 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(backlog)?;
     socket.set_nonblocking(true)?;
     TcpListener::from_std(socket.into())
 }
--- a/crates/quillpulley/tests/peer.rs
+++ b/crates/quillpulley/tests/peer.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 const LOCALHOST: Ipv4Addr = Ipv4Addr::LOCALHOST;
 
@@ -301,6 +302,136 @@
     });
 }
 
+/// More silent callers than there may be connections without a `Hello`, by default.
+const SILENT_CALLERS: usize = 600;
+/// The time within which a link has to open whatever other callers do.
+const MAX_OPEN_TIME: Duration = Duration::from_secs(1);
+
+/// Opens raw connections that send `bytes` and no complete `Hello`.
+async fn callers_without_hello(address: SocketAddr, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
+    let mut callers = Vec::new();
+    for _ in 0..count {
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        // The connection may be closed already.
+        let _ = caller.write_all(bytes).await;
+        callers.push(caller);
+    }
+    callers
+}
+
+/// Checks that another process opens a link in time beside callers that send `bytes`.
+async fn assert_opens_beside_callers_that_send(bytes: &[u8]) {
+    let (mut control_node, address) = listening_process("core").await;
+    let _callers = callers_without_hello(address, SILENT_CALLERS, bytes).await;
+    let started = Instant::now();
+    let mut agent = TestProcess::new(PeerKind::Agent, "agent");
+    let link = agent.peers.connect(address);
+    assert_eq!(agent.opened().await.0, link);
+    assert_eq!(control_node.opened().await.1.name, "agent");
+    assert!(started.elapsed() < MAX_OPEN_TIME, "opened after {:?}", started.elapsed());
+}
+
+/// Guards against silent callers that keep processes of the system from opening links.
+#[test]
+fn silent_callers_do_not_keep_others_out() {
+    run(assert_opens_beside_callers_that_send(b""));
+}
+
+/// Guards against callers that stop within their `Hello` and keep processes of the system from opening links.
+#[test]
+fn callers_that_stop_within_their_hello_do_not_keep_others_out() {
+    let hello = encoded_hello("half");
+    run(assert_opens_beside_callers_that_send(&hello[..hello.len() - 1]));
+}
+
+/// Guards against callers of another protocol that keep processes of the system from opening links.
+#[test]
+fn callers_of_another_protocol_do_not_keep_others_out() {
+    run(assert_opens_beside_callers_that_send(b"GET / HTTP/1.1\r\n\r\n"));
+}
+
+/// Guards against open links that are closed to make room.
+#[test]
+fn silent_callers_close_no_open_link() {
+    run(async {
+        let (mut control_node, address) = listening_process("core").await;
+        let mut agent = TestProcess::new(PeerKind::Agent, "agent");
+        let link = agent.peers.connect(address);
+        control_node.opened().await;
+        agent.opened().await;
+        let _callers = callers_without_hello(address, SILENT_CALLERS, b"").await;
+        let (mut late, _) = connect_raw(&mut control_node, address).await;
+        agent.peers.send(link, &ping("still open", 1));
+        assert_eq!(control_node.frame().await.1, ping("still open", 1));
+        late.shutdown().await.expect("a shutdown");
+    });
+}
+
+/// Guards against connections that are closed to make room although their `Hello` has arrived.
+#[test]
+fn connections_that_have_sent_their_hello_are_not_closed_to_make_room() {
+    run(async {
+        let mut control_node = with_options(PeerOptions { max_handshakes: 1, ..PeerOptions::default() });
+        let (listener, address) = listener(LOCALHOST).await;
+        let waiting = callers_without_hello(address, 20, &encoded_hello("waiting")).await;
+        control_node.peers.listen(listener);
+        for _ in &waiting {
+            control_node.opened().await;
+        }
+        assert!(control_node.events.try_recv().is_err());
+    });
+}
+
+/// Guards against a backlog that is accepted at once, beyond the limit.
+#[test]
+fn the_oldest_connections_without_a_hello_are_closed_to_make_room() {
+    run(async {
+        let started = Instant::now();
+        let control_node = with_options(PeerOptions { max_handshakes: 2, ..PeerOptions::default() });
+        let (listener, address) = listener(LOCALHOST).await;
+        let mut waiting = callers_without_hello(address, 10, b"").await;
+        control_node.peers.listen(listener);
+        let mut latest = waiting.pop().expect("a caller");
+        assert!(read_message(&mut latest, &mut FrameDecoder::default()).await.is_some());
+        assert!(started.elapsed() < MAX_OPEN_TIME, "closed by the timeout, not to make room");
+        let second_latest = waiting.pop().expect("a caller");
+        for mut closed in waiting {
+            read_to_end(&mut closed).await;
+        }
+        assert!(started.elapsed() < MAX_OPEN_TIME, "more connections than the limit were accepted at once");
+        assert!(is_open(&second_latest) && is_open(&latest));
+    });
+}
+
+/// Returns whether the peer has not closed a raw connection.
+fn is_open(stream: &TcpStream) -> bool {
+    let mut bytes = [0; 4096];
+    match stream.try_read(&mut bytes) {
+        Ok(count) => count > 0,
+        Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+    }
+}
+
+/// Guards against connections without a `Hello` that become more open links than the limit.
+#[test]
+fn a_hello_beyond_the_limit_of_open_links_closes_its_connection() {
+    run(async {
+        let mut control_node = with_options(PeerOptions { max_incoming: 1, ..PeerOptions::default() });
+        let (listener, address) = listener(LOCALHOST).await;
+        control_node.peers.listen(listener);
+        let mut callers = callers_without_hello(address, 2, b"").await;
+        for caller in &mut callers {
+            assert!(read_message(caller, &mut FrameDecoder::default()).await.is_some());
+        }
+        callers[0].write_all(&encoded_hello("first")).await.expect("a hello");
+        assert_eq!(control_node.opened().await.1.name, "first");
+        callers[1].write_all(&encoded_hello("second")).await.expect("a hello");
+        read_to_end(&mut callers[1]).await;
+        assert!(control_node.events.try_recv().is_err());
+        assert!(is_open(&callers[0]));
+    });
+}
+
 #[test]
 fn connections_are_refused_after_listening_has_stopped() {
     run(async {
--- a/crates/quillpulley/tests/stalled_callers/callers.rs
+++ b/crates/quillpulley/tests/stalled_callers/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that stall: what they send, and where they stop.
 
+use crate::links::encoded_hello;
 use crate::system::System;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::Write;
@@ -23,7 +24,10 @@
     Ready,
     Control,
     Directory,
+    /// The links of the control nodes.
     Peers,
+    /// The links of the agent.
+    AgentPeers,
 }
 
 impl Listener {
@@ -34,11 +38,12 @@
             "control" => Listener::Control,
             "directory" => Listener::Directory,
             "peers" => Listener::Peers,
+            "agent-peers" => Listener::AgentPeers,
             other => panic!("there is no listener {other}"),
         }
     }
 
-    /// Returns the addresses that are beset: those of all control nodes, or of the proxy.
+    /// Returns the addresses that are beset: those of all control nodes, of the proxy, or of the agent.
     fn addresses(self, system: &System) -> Vec<SocketAddr> {
         let machines = &system.machines;
         match self {
@@ -47,6 +52,7 @@
             Listener::Control => machines.control_addresses(),
             Listener::Directory => machines.directory_addresses(),
             Listener::Peers => machines.peer_addresses(),
+            Listener::AgentPeers => vec![machines.agent_links(), machines.proxy_links()],
         }
     }
 
@@ -64,7 +70,15 @@
                 "GET /v1/resolve?Name=stalled.example&Region=region-a&Zone=zone-1 HTTP/1.1\r\nHost: x\r\n\r\n"
                     .to_string()
             }
-            Listener::Peers => "no frame of the protocol".to_string(),
+            Listener::Peers | Listener::AgentPeers => "no frame of the protocol".to_string(),
+        }
+    }
+
+    /// Returns what callers send byte by byte: a request, or the `Hello` of a link.
+    fn head(self) -> Vec<u8> {
+        match self {
+            Listener::Peers | Listener::AgentPeers => encoded_hello("slow"),
+            _ => self.request(0).into_bytes(),
         }
     }
 
@@ -73,7 +87,7 @@
         let path = match self {
             Listener::Front => "/cards/10/0",
             Listener::Ready => "/v1/ready",
-            Listener::Control | Listener::Peers => "/v1/Config.Replace",
+            Listener::Control | Listener::Peers | Listener::AgentPeers => "/v1/Config.Replace",
             Listener::Directory => "/v1/resolve",
         };
         format!(
@@ -146,7 +160,7 @@
         let stop = Arc::new(AtomicBool::new(false));
         let sender = (behaviour == Behaviour::HeadByteWise).then(|| {
             let (streams, stop) = (streams.clone(), stop.clone());
-            thread::spawn(move || send_byte_wise(&streams, &listener.request(0), &stop))
+            thread::spawn(move || send_byte_wise(&streams, &listener.head(), &stop))
         });
         StalledCallers { streams, stop, sender }
     }
@@ -202,8 +216,8 @@
     }
 }
 
-fn send_byte_wise(streams: &[TcpStream], text: &str, stop: &AtomicBool) {
-    for byte in text.as_bytes() {
+fn send_byte_wise(streams: &[TcpStream], head: &[u8], stop: &AtomicBool) {
+    for byte in head {
         for mut stream in streams {
             let _ = stream.write_all(&[*byte]);
         }
--- a/crates/quillpulley/tests/stalled_callers/main.rs
+++ b/crates/quillpulley/tests/stalled_callers/main.rs
@@ -13,6 +13,7 @@
 #[allow(dead_code)] // `tests/system` uses the rest.
 #[path = "../system/http.rs"]
 mod http;
+mod links;
 #[allow(dead_code)]
 #[path = "../system/machines.rs"]
 mod machines;
@@ -35,16 +36,18 @@
 
 /// The number of stalled callers of a listener.
 const CALLERS: std::ops::Range<usize> = 16..96;
+/// The numbers of stalled callers of links: below and at the limits of agents and control nodes, and far beyond both.
+const LINK_CALLERS: [usize; 4] = [95, 128, 256, 600];
 
 /// Which listeners are beset by callers of each behaviour.
 const TABLE: &str = "
-    behaviour        | front ready control directory peers
-    silent           | yes   yes   yes     yes       yes
-    head-byte-wise   | yes   yes   yes     yes       yes
-    partial-body     | yes   yes   yes     yes       -
-    longer-body      | yes   yes   yes     yes       -
-    reset            | yes   yes   yes     yes       yes
-    never-reads      | yes   yes   yes     yes       yes
+    behaviour        | front ready control directory peers agent-peers
+    silent           | yes   yes   yes     yes       yes   yes
+    head-byte-wise   | yes   yes   yes     yes       yes   yes
+    partial-body     | yes   yes   yes     yes       -     -
+    longer-body      | yes   yes   yes     yes       -     -
+    reset            | yes   yes   yes     yes       yes   yes
+    never-reads      | yes   yes   yes     yes       yes   yes
 ";
 
 fn cases() -> Vec<(Listener, Behaviour)> {
@@ -78,14 +81,38 @@
         random.shuffle(&mut cases);
         for (listener, behaviour) in cases {
             let count = random.usize(CALLERS);
-            let stalled = StalledCallers::open(&system, listener, behaviour, count, random.u64(..));
-            for served in system.serve_others() {
-                if !served.is_in_time() {
-                    late.push(format!("seed {seed}, {count} {behaviour:?} at {listener:?}: {served}"));
-                }
-            }
-            drop(stalled);
+            let case_late = serve_beside(&mut system, listener, behaviour, count, random.u64(..));
+            late.extend(case_late.into_iter().map(|case| format!("seed {seed}, {case}")));
         }
     }
     assert!(late.is_empty(), "{late:#?}");
 }
+
+/// Guards against callers without a `Hello` that keep processes of the system from opening links.
+#[test]
+fn stalled_callers_of_links_beyond_their_limits_hold_up_nobody() {
+    let mut system = System::start("stalled-links");
+    let at_links =
+        |(listener, _): &(Listener, Behaviour)| matches!(listener, Listener::Peers | Listener::AgentPeers);
+    let mut late = Vec::new();
+    for (listener, behaviour) in cases().into_iter().filter(at_links) {
+        for count in LINK_CALLERS {
+            late.extend(serve_beside(&mut system, listener, behaviour, count, count as u64));
+        }
+    }
+    assert!(late.is_empty(), "{late:#?}");
+}
+
+/// Serves others beside stalled callers. Returns those that were not served in time.
+fn serve_beside(
+    system: &mut System,
+    listener: Listener,
+    behaviour: Behaviour,
+    count: usize,
+    seed: u64,
+) -> Vec<String> {
+    let _stalled = StalledCallers::open(system, listener, behaviour, count, seed);
+    let served = system.serve_others();
+    let late = served.iter().filter(|served| !served.is_in_time());
+    late.map(|served| format!("{count} {behaviour:?} at {listener:?}: {served}")).collect()
+}
--- a/crates/quillpulley/tests/stalled_callers/measurements.rs
+++ b/crates/quillpulley/tests/stalled_callers/measurements.rs
@@ -23,7 +23,7 @@
             let rounds = (0..ROUNDS).flat_map(|_| system.serve_others());
             let at_control = rounds.filter(|served| matches!(served.what, "read" | "order"));
             let (served, unserved): (Vec<Served>, Vec<Served>) =
-                at_control.partition(|served| served.status == Some(200));
+                at_control.partition(|served| served.is_served);
             let unserved = unserved.len();
             let mut waits: Vec<Duration> = served.into_iter().map(|served| served.waited).collect();
             waits.sort();
--- a/crates/quillpulley/tests/stalled_callers/system.rs
+++ b/crates/quillpulley/tests/stalled_callers/system.rs
@@ -1,6 +1,7 @@
 //! The system that the callers beset, and the callers that have to be served meanwhile.
 
 use crate::http::Request;
+use crate::links;
 use crate::machines::{Machines, CONTROL_NODES};
 use crate::platform::Platform;
 use crate::processes::Process;
@@ -71,7 +72,8 @@
         });
     }
 
-    /// Sends a request to each listener, and orders to each control node. Returns how each was served.
+    /// Sends a request to each listener, opens a link to each, and sends orders to each control node. Returns how each was
+    /// served.
     pub fn serve_others(&mut self) -> Vec<Served> {
         self.requests += 1;
         let request = card(&format!("other-{}", self.requests));
@@ -89,8 +91,25 @@
                 served.push(Served::send("order", &order, control));
             }
         }
+        let epoch = self.epoch();
+        for control in self.machines.peer_addresses() {
+            served.push(Served::open_link("link to a control node", control, epoch));
+        }
+        served.push(Served::open_link("link to the agent", self.machines.agent_links(), epoch));
+        served.push(Served::open_link("link at the port of the proxy", self.machines.proxy_links(), epoch));
         served
     }
+
+    /// Returns the epoch of the published state; 0 if it cannot be read.
+    fn epoch(&self) -> u64 {
+        let status = |control| Request::get("/v1/Control.Status").send(control);
+        let response = self.machines.control_addresses().into_iter().find_map(status);
+        let epoch = response.and_then(|response| {
+            let (_, epoch) = response.body.split_once("\"Epoch\":")?;
+            epoch.split(',').next()?.parse().ok()
+        });
+        epoch.unwrap_or_default()
+    }
 }
 
 /// How a request was served.
@@ -99,6 +118,8 @@
     pub address: SocketAddr,
     /// The status of the answer. `None` if there was none.
     pub status: Option<u16>,
+    /// Whether the request succeeded, or the link was opened.
+    pub is_served: bool,
     pub waited: Duration,
 }
 
@@ -110,7 +131,20 @@
             let status = request.send_following(address).map(|response| response.status);
             let waited = started.elapsed();
             if status != Some(503) || waited > MAX_WAIT {
-                return Served { what, address, status, waited };
+                return Served { what, address, status, is_served: status == Some(200), waited };
+            }
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+
+    /// Opens a link, again after a failure as processes do, until it is open or the time is over.
+    fn open_link(what: &'static str, address: SocketAddr, epoch: u64) -> Served {
+        let started = Instant::now();
+        loop {
+            let is_served = links::opens(address, epoch);
+            let waited = started.elapsed();
+            if is_served || waited > MAX_WAIT {
+                return Served { what, address, status: None, is_served, waited };
             }
             thread::sleep(RETRY_PAUSE);
         }
@@ -118,14 +152,15 @@
 
     /// Returns whether the request was served in time.
     pub fn is_in_time(&self) -> bool {
-        self.status == Some(200) && self.waited <= MAX_WAIT
+        self.is_served && self.waited <= MAX_WAIT
     }
 }
 
 impl fmt::Display for Served {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Served { what, address, status, waited } = self;
-        write!(formatter, "{what} at {address}: status {status:?} after {waited:?}")
+        let Served { what, address, status, is_served, waited } = self;
+        let outcome = if *is_served { "served" } else { "not served" };
+        write!(formatter, "{what} at {address}: {outcome} (status {status:?}) after {waited:?}")
     }
 }
 
--- a/crates/quillpulley/tests/system/machines.rs
+++ b/crates/quillpulley/tests/system/machines.rs
@@ -65,6 +65,16 @@
         CONTROL_NODES.map(|number| self.address(0, number, 0)).collect()
     }
 
+    /// Returns the address on which the agent accepts connections from other agents.
+    pub fn agent_links(&self) -> SocketAddr {
+        self.address(1, 1, 1)
+    }
+
+    /// Returns the address on which the agent accepts connections from the proxy of its machine.
+    pub fn proxy_links(&self) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::LOCALHOST, self.first_port + 2))
+    }
+
     /// Writes the settings file of a control node. Returns its path.
     pub fn control_node_settings(&self, number: u8) -> PathBuf {
         let disk = self.folder.join(format!("disk-{number}"));
