--- a/crates/http1/src/server/manager.rs
+++ b/crates/http1/src/server/manager.rs
@@ -166,12 +166,16 @@
         true
     }
 
-    /// Asks the connection that should be closed first to close. Returns whether any may be closed.
+    /// Asks the connection that should be closed first to close. Returns whether any may be closed, now or once the grace
+    /// of a connection without a request is over.
     fn close_most_idle(&self) -> bool {
         let options = self.options.get();
         let connections = self.connections.borrow();
+        let is_room_expected = options.first_request_grace < options.idle_grace
+            && connections.values().any(|each| each.awaits_first_request());
         let ranked = connections.values().filter_map(|each| Some((each.close_rank(&options)?, each)));
-        let Some((_, connection)) = ranked.min_by_key(|(rank, _)| *rank) else { return false };
+        let closable = ranked.filter(|(_, each)| !(is_room_expected && each.has_requested()));
+        let Some((_, connection)) = closable.min_by_key(|(rank, _)| *rank) else { return is_room_expected };
         connection.request_close();
         true
     }
