An agent takes no more children than its link carries

Change: an agent takes one and a half times the fan-out of the tree (24 children, 48 before). Others go to the next candidate, control nodes among them.

--- a/crates/state-sync/src/options.rs
+++ b/crates/state-sync/src/options.rs
@@ -1,5 +1,6 @@
 //! The options of a node.
 
+use crate::parent_selection::FAN_OUT;
 use quillpulley_protocol::MIN_COMPRESSED_ORDERED_BYTES;
 use std::time::Duration;
 
@@ -8,6 +9,9 @@
 /// The fraction of the link's bandwidth that responses to subscriptions may use.
 const REPAIR_LINK_SHARE: f64 = 0.5;
 const BYTES_PER_MEGABIT: f64 = 1e6 / 8.0;
+/// The maximum number of children of an agent: those of the heap, its proxy, and some that have lost their parent. The
+/// others are better served by control nodes, whose links are faster.
+const MAX_AGENT_CHILDREN: usize = FAN_OUT + FAN_OUT / 2;
 /// The factor by which compression on the link shortens long responses at least, as their items are alike.
 const EXPECTED_COMPRESSION: usize = 2;
 
@@ -58,7 +62,7 @@
     pub fn new(name: &str) -> Self {
         Options {
             name: name.to_string(),
-            max_children: 48,
+            max_children: MAX_AGENT_CHILDREN,
             repair_bytes: repair_bytes(DEFAULT_LINK_MBPS),
             repair_interval: REPAIR_INTERVAL,
             fresh_for: Duration::from_secs(1),
--- a/crates/state-sync/tests/published_state.rs
+++ b/crates/state-sync/tests/published_state.rs
@@ -3,6 +3,8 @@
 mod network;
 
 use network::timeline::{run_timeline, run_timeline_with};
+use network::Network;
+use quillpulley_state_sync::parent_selection::FAN_OUT;
 use quillpulley_state_sync::Options;
 use std::time::Duration;
 
@@ -307,6 +309,16 @@
     assert_eq!(timeline.network.parent_links.iter().flatten().count(), 2);
 }
 
+/// Guards against agents whose link is too slow for the updates to all children that have lost their parents: the states
+/// of all of them lag behind, although their revisions advance.
+#[test]
+fn an_agent_rejects_children_beyond_one_and_a_half_times_the_fan_out() {
+    let names = (0..=FAN_OUT * 2).map(|number| format!("agent-{number}"));
+    let mut network = Network::new(names.map(|name| Options::new(&name)));
+    (1..=FAN_OUT * 2).for_each(|child| network.connect(child, 0));
+    assert_eq!(network.parent_links.iter().flatten().count(), FAN_OUT * 3 / 2);
+}
+
 #[test]
 fn nodes_in_a_loop_become_stale() {
     run_timeline(
