A first message that is far longer than a Hello ends its connection

What callers saw: nothing yet; each connection without a Hello could make a process hold up to 32 MB for a second, and there may be 256 of them, far beyond MemoryMb.

Cause: the first message had the limit of all messages.

Why it works: 64 KB without a complete Hello end the connection. A Hello has some hundred bytes, and it is decoded before more than 16 KB beyond it are read.

Evidence: tests/peer.rs, a_first_message_that_is_far_longer_than_a_hello_closes_its_connection: a message that announces 32 MB and sends 200 KB was closed only by the timeout of a second before (failed: "closed by the timeout"). 26 of 26 tests of peer.rs, 10 of agent.rs and 3 of documentation.rs pass now (debug build).

--- a/crates/quillpulley/src/peer/link.rs
+++ b/crates/quillpulley/src/peer/link.rs
@@ -23,6 +23,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The maximum time from the establishment of a connection until the `Hello` of the peer has arrived.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
+/// The maximum number of bytes that are received before the `Hello` is complete.
+const MAX_HELLO_BYTES: usize = 64 * 1024;
 /// The delay after `accept` has failed. The most likely cause is that the process has run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The maximum number of bytes that are read from a socket at once.
@@ -41,6 +43,8 @@
     Protocol(ProtocolError),
     /// the first message is not a Hello: check that the peer speaks this protocol
     NoHello,
+    /// no Hello within the first bytes: check that the peer speaks this protocol
+    HelloTooLong,
     /// timed out
     TimedOut,
 }
@@ -126,7 +130,7 @@
 
 fn finish(shared: &Shared, link: LinkId, address: SocketAddr, reason: CloseReason) {
     match reason {
-        CloseReason::Protocol(_) | CloseReason::NoHello => {
+        CloseReason::Protocol(_) | CloseReason::NoHello | CloseReason::HelloTooLong => {
             warn!(link:% = link, address:% = address, reason:% = reason; "link closed")
         }
         _ => debug!(link:% = link, address:% = address, reason:% = reason; "link closed"),
@@ -139,8 +143,13 @@
     socket::set_options(&stream);
     outbound.borrow_mut().prepend(&compression_announcement());
     outbound.borrow_mut().prepend(&shared.hello);
-    let connection =
-        Connection { stream, decoder: FrameDecoder::default(), outbound, last_received_at: Instant::now() };
+    let connection = Connection {
+        stream,
+        decoder: FrameDecoder::default(),
+        outbound,
+        last_received_at: Instant::now(),
+        remaining_hello_bytes: Some(MAX_HELLO_BYTES),
+    };
     match serve(shared, link, connection).await {
         Ok(never) => match never {},
         Err(reason) => reason,
@@ -169,6 +178,8 @@
     outbound: SharedOutbound,
     /// When any bytes were last received.
     last_received_at: Instant,
+    /// How many more bytes may be received before the `Hello` is complete. `None` once it is.
+    remaining_hello_bytes: Option<usize>,
 }
 
 impl Connection {
@@ -176,7 +187,10 @@
     async fn receive_hello(&mut self) -> Result<Hello, CloseReason> {
         let first = poll_fn(|context| self.poll_frame(context));
         match timeout(HELLO_TIMEOUT, first).await {
-            Ok(Ok(Body::Hello(hello))) => Ok(*hello),
+            Ok(Ok(Body::Hello(hello))) => {
+                self.remaining_hello_bytes = None;
+                Ok(*hello)
+            }
             Ok(Ok(_)) => Err(CloseReason::NoHello),
             Ok(Err(reason)) => Err(reason),
             Err(_) => Err(CloseReason::TimedOut),
@@ -256,6 +270,9 @@
             return Poll::Ready(Err(CloseReason::ClosedByPeer));
         }
         self.last_received_at = Instant::now();
+        if let Some(remaining) = &mut self.remaining_hello_bytes {
+            *remaining = remaining.checked_sub(buffer.filled().len()).ok_or(CloseReason::HelloTooLong)?;
+        }
         self.decoder.push(buffer.filled());
         Poll::Ready(Ok(()))
     }
--- a/crates/quillpulley/tests/peer.rs
+++ b/crates/quillpulley/tests/peer.rs
@@ -350,6 +350,22 @@
     run(assert_opens_beside_callers_that_send(b"GET / HTTP/1.1\r\n\r\n"));
 }
 
+/// Guards against callers without a `Hello` that make a process hold a message of the maximum length each.
+#[test]
+fn a_first_message_that_is_far_longer_than_a_hello_closes_its_connection() {
+    run(async {
+        let (mut control_node, address) = listening_process("core").await;
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        let started = Instant::now();
+        let message = [(MAX_FRAME_BYTES as u32).to_le_bytes().to_vec(), vec![0; 200_000]].concat();
+        // The connection may be closed before all is written.
+        let _ = caller.write_all(&message).await;
+        read_to_end(&mut caller).await;
+        assert!(started.elapsed() < MAX_OPEN_TIME, "closed by the timeout");
+        assert!(control_node.events.try_recv().is_err());
+    });
+}
+
 /// Guards against open links that are closed to make room.
 #[test]
 fn silent_callers_close_no_open_link() {
