--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -3,7 +3,7 @@
 //! The candidates are ordered by preference, best first. The search connects to the best candidate that is reachable.
 //! It searches for another parent when the link to the parent closes, or when the revision of the published state
 //! stalls. After a stall, the link to the old parent is closed only once the link to the new one is open. Once the
-//! revision is older than [`MAX_AGE_BELOW_AGENTS`], control nodes are tried before agents, whatever has been tried until
+//! revision is older than `MAX_AGE_BELOW_AGENTS`, control nodes are tried before agents, whatever has been tried until
 //! then: an agent that is connected may itself wait for its parent, and so on.
 //!
 //! While the agent has a parent, the search tries every few seconds to connect to a better candidate. The link to the
