--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,16 @@
+//! The cases of the second review: `case NAME RECORD` plays one and exits with 1 if its rule was broken, 0 if it held
+//! and 2 if it could not run.
+
+mod deployment;
+
+mod cold_again;
+mod moved_list;
+
+fn main() {
+    let verdict = match std::env::args().nth(1).as_deref() {
+        Some("moved_list") => moved_list::play(),
+        Some("cold_again") => cold_again::play(),
+        _ => deployment::cannot_run("usage: case NAME RECORD"),
+    };
+    std::process::exit(verdict)
+}
