--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::FromRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,6 +16,41 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: i32, address: *const [u8; 16], length: u32) -> i32;
+}
+
+/// Connects as a client behind an ordinary link does: with segments of 1,460 bytes, which loopback does not have by itself,
+/// and a small window, so that the kernel keeps little of an answer (DEPLOY: "small windows: a peer that does not read
+/// holds the writer up").
+pub fn connect_with_small_window(address: SocketAddr) -> io::Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    const IPPROTO_TCP: i32 = 6;
+    const TCP_MAXSEG: i32 = 2;
+    let SocketAddr::V4(v4) = address else { return Err(broken("no IPv4 address")) };
+    let mut raw = [0; 16];
+    raw[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
+    raw[2..4].copy_from_slice(&v4.port().to_be_bytes());
+    raw[4..8].copy_from_slice(&v4.ip().octets());
+    let (buffer, segment) = (64 * 1024, 1460);
+    unsafe {
+        let descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        if descriptor < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        if setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &buffer, 4) < 0
+            || setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment, 4) < 0
+            || connect(descriptor, &raw, 16) < 0
+        {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
 }
 
 pub const SIGHUP: i32 = 1;
@@ -658,7 +694,11 @@
             return None;
         }
         self.answered.fetch_add(1, Ordering::Relaxed);
-        let body = format!("answer to {id}");
+        let mut body = format!("answer to {id}");
+        if let Some(length) = request.path().strip_prefix("/files/") {
+            let length: usize = length.parse().unwrap_or(0);
+            body += &".".repeat(length.saturating_sub(body.len()));
+        }
         Some(
             format!(
                 "HTTP/1.1 200 OK\r\nQuillpulley-Request-Id: {id}\r\nQuillpulley-Response-Seal: seal.{}\r\n{close}\
