--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -7,6 +7,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::FromRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -16,6 +17,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(socket: i32, address: *const [u8; 16], length: u32) -> i32;
@@ -260,6 +262,14 @@
                 command.env(name, value);
             }
         }
+        // No process outlives the run, however that ends. All are started by the main thread.
+        const PR_SET_PDEATHSIG: i32 = 1;
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         let child = child.unwrap_or_else(|error| cannot_run(&format!("{}: {error}", program())));
         self.children.lock().unwrap().insert((role.to_string(), ip.to_string()), child);
@@ -424,7 +434,7 @@
 }
 
 /// Sends one request of an operator to a control machine and returns the status and the body.
-fn call_once(address: SocketAddr, head: &str, body: &[u8]) -> io::Result<Message> {
+pub fn call_once(address: SocketAddr, head: &str, body: &[u8]) -> io::Result<Message> {
     let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(1)))?;
     (&stream).write_all(&[head.as_bytes(), body].concat())?;
