--- a/crates/http1/src/server/connection.rs
+++ b/crates/http1/src/server/connection.rs
@@ -1,5 +1,6 @@
 //! An incoming connection, which serves requests until it closes.
 
+use super::backlog::Backlog;
 use super::options::{ConnectionOptions, Linger, WriteLimit};
 use super::phase::{Event, Phase};
 use super::write_timer::WriteTimer;
@@ -69,6 +70,9 @@
     has_requested: Cell<bool>,
     /// When the connection was accepted.
     accepted_at: Instant,
+    backlog: Rc<Backlog>,
+    /// The newest mark of the service after which the connection was opened, as far as that is certain.
+    opened_after: u64,
     /// The time by which the current response has to be written.
     write_deadline: Cell<Option<Instant>>,
     /// What is dropped once the current response is written, or the connection has ended.
@@ -86,7 +90,13 @@
 }
 
 impl ServerConnection {
-    pub(crate) fn new(socket: Rc<Socket>, options: ConnectionOptions) -> Self {
+    /// Creates a connection that was opened after the mark `opened_after` was set in `backlog`.
+    pub(crate) fn new(
+        socket: Rc<Socket>,
+        options: ConnectionOptions,
+        backlog: Rc<Backlog>,
+        opened_after: u64,
+    ) -> Self {
         let now = Instant::now();
         socket.record_input(options.recorded_bytes);
         ServerConnection {
@@ -95,6 +105,8 @@
             phase: Cell::new(Phase::Idle { since: now }),
             has_requested: Cell::new(false),
             accepted_at: now,
+            backlog,
+            opened_after,
             write_deadline: Cell::new(None),
             held: RefCell::default(),
             head_seen_at: Cell::new(None),
@@ -116,6 +128,19 @@
         self.handle(Event::RequestReceived);
     }
 
+    /// Returns the newest mark after which the connection was opened, as far as that is certain; 0 if none is known.
+    /// See [`ServerConnection::set_mark`].
+    pub fn opened_after(&self) -> u64 {
+        self.opened_after
+    }
+
+    /// Sets a mark, a number that grows, for all connections of the listener. Waits until the connections that were
+    /// opened before the mark have been accepted, for `limit` at most; if that is too short, some connections are not
+    /// known to have been opened after it.
+    pub async fn set_mark(&self, mark: u64, limit: Duration) {
+        self.backlog.mark(mark, limit).await;
+    }
+
     /// Closes the connection once `deadline` is over if bytes of the current response still wait for the
     /// client to read. Called while a request is open.
     pub fn set_write_deadline(&self, deadline: Instant) {
--- a/crates/http1/src/server/manager.rs
+++ b/crates/http1/src/server/manager.rs
@@ -3,11 +3,14 @@
 //!
 //! A [`Service`] responds to the requests.
 
+use super::backlog::Backlog;
 use super::connection::{ServeEnd, ServerConnection, Service};
 use super::options::ConnectionOptions;
 use crate::socket::Socket;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,6 +29,7 @@
     connections: RefCell<BTreeMap<u64, Rc<ServerConnection>>>,
     next_number: Cell<u64>,
     closed: Notify,
+    backlog: Rc<Backlog>,
 }
 
 impl ConnectionManager {
@@ -37,6 +41,7 @@
             connections: RefCell::default(),
             next_number: Cell::new(0),
             closed: Notify::new(),
+            backlog: Rc::default(),
         })
     }
 
@@ -56,10 +61,11 @@
     /// `LocalSet`.
     pub async fn accept<S: Service>(self: &Rc<Self>, listener: TcpListener, service: Rc<S>) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            match self.next_stream(&listener).await {
+                Ok(stream) => {
+                    let opened_after = self.backlog.latest_mark();
                     self.wait_for_room().await;
-                    let (number, connection) = self.add(stream);
+                    let (number, connection) = self.add(stream, opened_after);
                     spawn_local(self.clone().serve(number, connection, service.clone()));
                 }
                 Err(error) => {
@@ -71,6 +77,22 @@
         }
     }
 
+    /// Accepts a connection. Looks whether the kernel's queue is empty if the service has set a mark since.
+    async fn next_stream(&self, listener: &TcpListener) -> io::Result<TcpStream> {
+        loop {
+            if let Some(mark) = self.backlog.unobserved_mark() {
+                match accept_waiting(listener)? {
+                    Some(stream) => return Ok(stream),
+                    None => self.backlog.record_empty(mark),
+                }
+            }
+            tokio::select! {
+                accepted = listener.accept() => return accepted.map(|(stream, _)| stream),
+                () = self.backlog.mark_set() => {}
+            }
+        }
+    }
+
     /// Waits until an accepted connection may be served. It may already carry a request, which would be lost if it were
     /// closed. Beyond the maximum, it is held, and others wait in the kernel's queue, until another connection has
     /// closed. Nothing is closed before a new connection needs the room.
@@ -180,10 +202,13 @@
         true
     }
 
-    /// Adds an accepted connection, which counts as open from now on. Returns its number.
-    fn add(&self, stream: TcpStream) -> (u64, Rc<ServerConnection>) {
+    /// Adds an accepted connection, which counts as open from now on, and was opened after the mark `opened_after`.
+    /// Returns its number.
+    fn add(&self, stream: TcpStream, opened_after: u64) -> (u64, Rc<ServerConnection>) {
         let number = self.next_number.replace(self.next_number.get() + 1);
-        let connection = Rc::new(ServerConnection::new(Socket::new(stream), self.options.get()));
+        let (socket, options) = (Socket::new(stream), self.options.get());
+        let connection = ServerConnection::new(socket, options, self.backlog.clone(), opened_after);
+        let connection = Rc::new(connection);
         self.connections.borrow_mut().insert(number, connection.clone());
         (number, connection)
     }
@@ -201,3 +226,16 @@
         self.closed.notify_one();
     }
 }
+
+/// Accepts a connection that waits in the kernel's queue; `None` if there is none. `TcpListener::accept` does not tell:
+/// it asks the kernel only once it has been told of a new connection.
+fn accept_waiting(listener: &TcpListener) -> io::Result<Option<TcpStream>> {
+    match SockRef::from(listener).accept() {
+        Ok((socket, _)) => {
+            socket.set_nonblocking(true)?;
+            TcpStream::from_std(socket.into()).map(Some)
+        }
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
+        Err(error) => Err(error),
+    }
+}
--- a/crates/http1/src/server/mod.rs
+++ b/crates/http1/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! Incoming connections: accepted up to a maximum number, limited in every phase, and drained without losing a
 //! request.
 
+mod backlog;
 mod connection;
 mod manager;
 mod options;
--- a/crates/quillpulley/src/control/api/mod.rs
+++ b/crates/quillpulley/src/control/api/mod.rs
@@ -3,7 +3,9 @@
 //! One thread serves all connections, and waits for no caller. The main thread decides the responses. Immediately
 //! before a response is written, the clock is checked: if the lease on which the response relies has ended, the
 //! caller is asked to retry. A command whose caller has closed its connection is not executed: the caller has sent
-//! it again elsewhere, and may have ordered the opposite since.
+//! it again elsewhere. A command that has to be confirmed is redirected to the same node. It is sent again on
+//! a new connection, as each response ends its connection, and that connection tells that it was sent after the
+//! redirect (see [`ServerConnection::set_mark`]).
 
 mod render;
 mod request;
@@ -12,6 +14,7 @@
 
 use crate::buffer_budget::BufferBudget;
 use crate::control::clock::Clock;
+use crate::control::confirmations::{ConfirmationId, Receipt};
 use crate::control::http::{self, Handler, JsonResponse};
 use crate::control::response::{Response, TimedResponse};
 use crate::HostError;
@@ -20,7 +23,7 @@
 use quillpulley_http1::{PeerWatch, ServerConnection, Socket};
 use request::ReceivedOperation;
 use std::future::pending;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -32,15 +35,17 @@
 /// Maximum memory of the bodies that are being read, or wait for the main thread, in bytes.
 const BODY_MEMORY_BYTES: usize = 32 * 1024 * 1024;
 /// Time for which a command waits before it is passed on. If its caller had closed the connection when the command
-/// was still on its way, the end of the connection follows within this time.
+/// was still on its way, the end of the connection mostly follows within this time.
 const COMMAND_SETTLE_TIME: Duration = Duration::from_millis(20);
+/// Maximum time for which a redirect waits until the connections that were opened before have been accepted.
+const BACKLOG_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A request from an operator, with the handle through which it is answered.
 pub struct ApiRequest {
     /// The requested operation.
     pub operation: Operation,
-    /// The time at which the request head had been read.
-    pub received_at: Duration,
+    /// How and when it arrived.
+    pub receipt: Receipt,
     /// The handle through which the caller is answered.
     pub responder: Responder,
 }
@@ -125,9 +130,11 @@
 where
     D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + Send + 'static,
 {
+    let address = listener.local_addr().map_err(HostError::Runtime)?;
     let unwritten = UnwrittenResponses::default();
     let added = unwritten.clone();
     http::serve(listener, move || ApiHandler {
+        address,
         clock,
         faults,
         deliver,
@@ -139,6 +146,8 @@
 
 /// Handles the requests on all connections.
 struct ApiHandler<D> {
+    /// The address to which callers are redirected that have to confirm a command.
+    address: SocketAddr,
     clock: Clock,
     faults: Faults,
     deliver: D,
@@ -155,7 +164,8 @@
         request: Request<Incoming>,
         connection: &Rc<ServerConnection>,
     ) -> JsonResponse {
-        let received_at = self.clock.now();
+        let sent_after = ConfirmationId(connection.opened_after());
+        let receipt = Receipt { received_at: self.clock.now(), sent_after };
         let target = request.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
         let received = match request::read(request, &self.bodies).await {
             Ok(received) => received,
@@ -163,10 +173,13 @@
         };
         connection.request_received();
         let ReceivedOperation { operation, reservation } = received;
-        let response = self.decide(operation, received_at, connection.socket()).await;
+        let response = self.decide(operation, receipt, connection.socket()).await;
         drop(reservation);
         connection.hold_until_written(self.unwritten.add());
-        render::render(&target, response)
+        if let Response::ConfirmationRequired(ConfirmationId(mark)) = response {
+            connection.set_mark(mark, BACKLOG_TIMEOUT).await;
+        }
+        render::render(&target, self.address, response)
     }
 }
 
@@ -175,7 +188,7 @@
     D: Fn(Box<ApiRequest>) -> Result<(), Box<ApiRequest>> + 'static,
 {
     /// Has the main thread decide an operation. A command is given up if its caller closes the connection.
-    async fn decide(&self, operation: Operation, received_at: Duration, socket: &Socket) -> Response {
+    async fn decide(&self, operation: Operation, receipt: Receipt, socket: &Socket) -> Response {
         let is_command = matches!(operation, Operation::Execute(_));
         let mut caller_gone = pin!(async {
             match is_command {
@@ -191,7 +204,7 @@
         let (sender, decided) = oneshot::channel();
         let caller = if is_command { socket.peer_watch().ok() } else { None };
         let responder = Responder { response: sender, caller };
-        let request = Box::new(ApiRequest { operation, received_at, responder });
+        let request = Box::new(ApiRequest { operation, receipt, responder });
         if (self.deliver)(request).is_err() {
             log::info!("the caller is asked to retry: too many requests wait for the main thread");
             return Response::Unavailable;
--- a/crates/quillpulley/src/control/commands.rs
+++ b/crates/quillpulley/src/control/commands.rs
@@ -3,10 +3,10 @@
 //! Invariant: at most one command is in flight, and the next one is decided only once the state includes
 //! every command in the log. Therefore exactly one of two configurations with the same base version is
 //! applied, and a command whose outcome is unknown takes effect before the next command is answered, or
-//! never. Evacuation commands for a zone take effect in the order in which they were received. One that is
-//! superseded by a later command is answered with [`Response::Unavailable`]: its outcome is unknown.
+//! never. An evacuation command that changes the state takes effect once its caller has confirmed it: see
+//! [`confirmations`](crate::control::confirmations).
 
-use crate::control::evacuation_order::EvacuationOrder;
+use crate::control::confirmations::{Confirmations, Receipt};
 use crate::control::response::Response;
 use quillpulley_control_state::{ControlState, EvacuationDecision, ReplaceDecision};
 use quillpulley_replication::Replica;
@@ -72,7 +72,7 @@
 struct QueuedCommand<R> {
     command: Command,
     responder: R,
-    received_at: Duration,
+    receipt: Receipt,
     expires_at: Duration,
 }
 
@@ -90,7 +90,7 @@
     in_flight: Option<InFlight<R>>,
     next_number: u64,
     responses: Vec<(R, Response)>,
-    evacuations: EvacuationOrder,
+    confirmations: Confirmations,
     /// Returns whether a caller has closed its connection.
     caller_has_gone: fn(&R) -> bool,
 }
@@ -111,16 +111,15 @@
             in_flight: None,
             next_number: 1,
             responses: Vec::new(),
-            evacuations: EvacuationOrder::default(),
+            confirmations: Confirmations::default(),
             caller_has_gone,
         }
     }
 
-    /// Queues a command whose request head was received at `received_at`. Responds with
-    /// [`Response::Unavailable`] at once if the queue is full. A configuration expires [`RESPONSE_TIMEOUT`]
-    /// after `now`, so that the time to read its body does not count as waiting; an evacuation command
-    /// expires [`RESPONSE_TIMEOUT`] after `received_at`.
-    pub fn push(&mut self, now: Duration, received_at: Duration, command: Command, responder: R) {
+    /// Queues a command. Responds with [`Response::Unavailable`] at once if the queue is full. A configuration
+    /// expires [`RESPONSE_TIMEOUT`] after `now`, so that the time to read its body does not count as waiting; an
+    /// evacuation command expires [`RESPONSE_TIMEOUT`] after its head was received.
+    pub fn push(&mut self, now: Duration, receipt: Receipt, command: Command, responder: R) {
         let queued: usize = self.queued.iter().map(|queued| queued.command.size()).sum();
         if queued + command.size() > MAX_QUEUED_BYTES {
             self.responses.push((responder, Response::Unavailable));
@@ -128,10 +127,10 @@
         }
         let waiting_since = match &command {
             Command::Replace { .. } => now,
-            Command::Evacuate { .. } => received_at,
+            Command::Evacuate { .. } => receipt.received_at,
         };
         let expires_at = waiting_since + RESPONSE_TIMEOUT;
-        self.queued.push_back(QueuedCommand { command, responder, received_at, expires_at });
+        self.queued.push_back(QueuedCommand { command, responder, receipt, expires_at });
     }
 
     /// Decides queued commands until one has to be replicated, and returns the proposal for that command.
@@ -156,7 +155,7 @@
                 self.responses.push((queued.responder, Response::Unavailable));
                 continue;
             }
-            match self.decide_in_order(state, &queued) {
+            match self.decide_confirmed(state, &queued) {
                 Decision::Respond(response) => {
                     if let Response::Invalid(reason) = &response {
                         log::info!(command:% = queued.command, reason = reason.as_str(); "command rejected");
@@ -169,17 +168,23 @@
         None
     }
 
-    /// Decides a command. Rejects an evacuation command that would undo one that was received later.
-    fn decide_in_order(&mut self, state: &ControlState, queued: &QueuedCommand<R>) -> Decision {
+    /// Decides a command. An evacuation command that would change the state has to be confirmed first.
+    fn decide_confirmed(&mut self, state: &ControlState, queued: &QueuedCommand<R>) -> Decision {
         let decision = decide(state, &queued.command);
-        let Command::Evacuate { zone, .. } = &queued.command else { return decision };
+        let Command::Evacuate { zone, active } = &queued.command else { return decision };
         let would_change = matches!(decision, Decision::Propose(_));
-        if would_change && self.evacuations.is_superseded(zone, queued.received_at) {
-            log::info!(command:% = queued.command; "command superseded by a later command for the same zone");
-            return Decision::Respond(Response::Unavailable);
+        if !would_change || self.confirmations.is_confirmed(zone, *active, queued.receipt) {
+            self.confirmations.end(zone);
+            return decision;
         }
-        self.evacuations.record(zone, queued.received_at);
-        decision
+        let request = self.confirmations.request(zone, *active, queued.receipt);
+        log::info!(
+            command:% = queued.command,
+            confirmation = request.map(|id| id.0),
+            sent_after = queued.receipt.sent_after.0;
+            "command not executed yet: its caller has to confirm it"
+        );
+        Decision::Respond(request.map_or(Response::Unavailable, Response::ConfirmationRequired))
     }
 
     fn start(&mut self, queued: QueuedCommand<R>, payload: Vec<u8>) -> Proposal {
@@ -222,12 +227,18 @@
             queued.into_iter().partition(|queued| queued.expires_at <= now);
         self.queued = waiting;
         self.responses.extend(expired.into_iter().map(|queued| (queued.responder, Response::Unavailable)));
-        self.evacuations.forget_before(now.saturating_sub(RESPONSE_TIMEOUT));
+        self.confirmations.expire(now);
+    }
+
+    /// Handles the gain of the primary role: another node may have decided commands meanwhile.
+    pub fn begin_term(&mut self) {
+        self.confirmations.end_all();
     }
 
     /// Handles the loss of the primary role. Queued commands are answered with `response`, the command in
     /// flight with [`Response::Unavailable`], as its outcome is unknown.
     pub fn abandon(&mut self, response: &Response) {
+        self.confirmations.end_all();
         if let Some(command) = self.in_flight.take() {
             let responder = command.responder;
             self.responses.extend(responder.map(|responder| (responder, Response::Unavailable)));
--- a/crates/quillpulley/src/control/mod.rs
+++ b/crates/quillpulley/src/control/mod.rs
@@ -10,6 +10,7 @@
 //! | --- | --- |
 //! | [`api`] | the operator API over HTTP: parses requests and writes responses |
 //! | [`commands`] | operator commands, which are decided and replicated one at a time |
+//! | [`confirmations`] | evacuation commands that wait until their callers confirm them |
 //! | [`discovery`] | polling of the platform's list of servers |
 //! | [`distribution`] | the state that the primary publishes, and the position of this process in the relay tree |
 //! | [`directory`] | selection of the proxy endpoints for a client |
@@ -18,10 +19,10 @@
 pub mod api;
 pub mod clock;
 pub mod commands;
+pub mod confirmations;
 pub mod directory;
 pub mod discovery;
 pub mod distribution;
-mod evacuation_order;
 pub mod http;
 pub mod replica_host;
 pub mod response;
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -84,13 +84,11 @@
         self.observe_clock();
         let now = self.clock.now();
         self.update_leadership(now);
-        let ApiRequest { operation, received_at, responder } = request;
+        let ApiRequest { operation, receipt, responder } = request;
         match (self.replica.lease_until(now), operation) {
             (_, Operation::ReadStatus) => self.respond(responder, status::response(&self.snapshot(), now)),
             (None, _) => self.respond(responder, self.snapshot().redirect(now)),
-            (Some(_), Operation::Execute(command)) => {
-                self.commands.push(now, received_at, command, responder)
-            }
+            (Some(_), Operation::Execute(command)) => self.commands.push(now, receipt, command, responder),
             (Some(lease_end), Operation::ReadConfiguration) => {
                 self.respond(responder, self.snapshot().configuration(lease_end));
             }
@@ -277,7 +275,10 @@
         let (state, relay, links) = (self.replica.state(), &mut self.relay, &mut self.links);
         match self.publisher.update(now, epoch, state, relay, links) {
             LeadershipChange::Unchanged => {}
-            LeadershipChange::Gained => self.discovery.reset(now),
+            LeadershipChange::Gained => {
+                self.commands.begin_term();
+                self.discovery.reset(now);
+            }
             LeadershipChange::Lost => {
                 let redirect = self.snapshot().redirect(now);
                 self.commands.abandon(redirect.unchecked());
--- a/crates/quillpulley/src/control/response.rs
+++ b/crates/quillpulley/src/control/response.rs
@@ -5,6 +5,7 @@
 //! therefore carries the end of the lease under which it was decided, and the writer checks the clock again.
 
 use crate::control::clock::Clock;
+use crate::control::confirmations::ConfirmationId;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +35,8 @@
     },
     /// The command is invalid. Contains the reason.
     Invalid(String),
+    /// The command is executed once its caller has sent it again to this process, after this response.
+    ConfirmationRequired(ConfirmationId),
     /// Another process is the primary. Contains the address of its operator API.
     Redirect(SocketAddr),
     /// The outcome is unknown: the caller has to send the command again, to this node or to another one.
--- a/crates/quillpulley/tests/control/api.rs
+++ b/crates/quillpulley/tests/control/api.rs
@@ -4,6 +4,7 @@
 use quillpulley::control::api::{self, ApiRequest, Operation};
 use quillpulley::control::clock::Clock;
 use quillpulley::control::commands::Command;
+use quillpulley::control::confirmations::ConfirmationId;
 use quillpulley::control::response::Response;
 use quillpulley::control::response::TimedResponse;
 use std::io::{Read, Write};
@@ -380,6 +381,86 @@
     assert!(requests.try_recv().is_err());
 }
 
+/// Sends an order on an open connection, and returns the request that the main thread gets.
+fn order(caller: &mut TcpStream, requests: &Receiver<Box<ApiRequest>>) -> Box<ApiRequest> {
+    let text = request_text("POST", "/v1/Evacuate.End/a").replace("Connection: close\r\n", "");
+    caller.write_all(text.as_bytes()).expect("cannot send the request");
+    requests.recv_timeout(TIMEOUT).expect("no request")
+}
+
+/// Reads a response, which ends its connection even if its caller would keep it.
+fn read_response(mut caller: TcpStream) -> String {
+    caller.set_read_timeout(Some(TIMEOUT)).expect("cannot set the timeout");
+    let mut response = String::new();
+    caller.read_to_string(&mut response).expect("cannot read the response");
+    response
+}
+
+fn require_confirmation(request: ApiRequest, number: u64) {
+    let response = Response::ConfirmationRequired(ConfirmationId(number));
+    request.responder.send(TimedResponse::without_expiry(response));
+}
+
+#[test]
+fn an_order_that_has_to_be_confirmed_is_redirected_to_the_same_node() {
+    let (address, requests) = start_api();
+    let mut caller = TcpStream::connect(address).expect("cannot connect");
+    require_confirmation(*order(&mut caller, &requests), 7);
+    let response = read_response(caller);
+    assert!(response.starts_with("HTTP/1.1 307 "), "{response}");
+    let location = format!("Location: http://{address}/v1/Evacuate.End/a\r\n");
+    assert!(response.contains(&location), "{response}");
+}
+
+/// Guards against late copies of orders that are taken for confirmed, and against callers that confirm in vain.
+#[test]
+fn orders_are_known_to_be_sent_after_a_request_for_confirmation_by_their_connection() {
+    let (address, requests) = start_api();
+    let mut early: Vec<TcpStream> =
+        (0..3).map(|_| TcpStream::connect(address).expect("cannot connect")).collect();
+    for number in [1, 2, 5] {
+        let mut caller = TcpStream::connect(address).expect("cannot connect");
+        let request = order(&mut caller, &requests);
+        assert!(request.receipt.sent_after < ConfirmationId(number));
+        require_confirmation(*request, number);
+        read_response(caller);
+        let mut confirming = TcpStream::connect(address).expect("cannot connect");
+        assert_eq!(order(&mut confirming, &requests).receipt.sent_after, ConfirmationId(number));
+        let mut early = early.pop().expect("a connection");
+        assert_eq!(order(&mut early, &requests).receipt.sent_after, ConfirmationId(0));
+    }
+}
+
+/// Guards against late copies whose connections have waited in the kernel's queue while the process did not run.
+#[test]
+fn connections_that_waited_to_be_accepted_were_opened_before_a_request_for_confirmation() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind the socket");
+    let address = listener.local_addr().expect("no valid address");
+    let (send_request, requests) = mpsc::channel();
+    let (resume, suspended) = mpsc::channel();
+    let deliver = move |request: Box<ApiRequest>| {
+        send_request.send(request).map_err(|rejected: mpsc::SendError<_>| rejected.0)?;
+        // The thread that accepts connections does not run until the test lets it.
+        suspended.recv().expect("the test has ended");
+        Ok(())
+    };
+    api::serve(listener, Clock::start(), deliver).expect("cannot start the server");
+    let mut first = TcpStream::connect(address).expect("cannot connect");
+    let request = order(&mut first, &requests);
+    let mut waiting: Vec<TcpStream> =
+        (0..40).map(|_| TcpStream::connect(address).expect("cannot connect")).collect();
+    require_confirmation(*request, 1);
+    resume.send(()).expect("the server has ended");
+    read_response(first);
+    for caller in &mut waiting {
+        assert_eq!(order(caller, &requests).receipt.sent_after, ConfirmationId(0));
+        resume.send(()).expect("the server has ended");
+    }
+    let mut later = TcpStream::connect(address).expect("cannot connect");
+    assert_eq!(order(&mut later, &requests).receipt.sent_after, ConfirmationId(1));
+    resume.send(()).expect("the server has ended");
+}
+
 /// Guards against callers that end their sending, still read, and get no answer.
 #[test]
 fn a_caller_that_has_ended_its_sending_gets_its_answer() {
--- a/crates/quillpulley/tests/control/cluster.rs
+++ b/crates/quillpulley/tests/control/cluster.rs
@@ -16,6 +16,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum time between two attempts. A line that a process logs starts the next attempt earlier.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum number of redirects that an operator follows.
+const MAX_REDIRECTS: usize = 2;
 const LINK_PORT: u16 = 7720;
 const CONTROL_PORT: u16 = 8166;
 const DIRECTORY_PORT: u16 = 8164;
@@ -287,11 +289,11 @@
         let mut attempt = 0;
         self.wait_for("a definite response", |cluster| {
             attempt += 1;
-            let response = operation.send(cluster.control_address(running[attempt % running.len()]))?;
-            let response = match response.location {
-                Some(location) => operation.send_to(&location)?,
-                None => response,
-            };
+            let mut response = operation.send(cluster.control_address(running[attempt % running.len()]))?;
+            for _ in 0..MAX_REDIRECTS {
+                let Some(location) = response.location else { break };
+                response = operation.send_to(&location)?;
+            }
             (response.status < 500 && response.status != 307).then_some(response)
         })
     }
--- a/crates/quillpulley/tests/control/commands.rs
+++ b/crates/quillpulley/tests/control/commands.rs
@@ -6,14 +6,17 @@
 //! - Commands: `BASE>VERSION` replaces the configuration; a letter after the version distinguishes
 //!   configurations of the same version. `+ZONE` starts an evacuation and `-ZONE` ends it. `20@+ZONE` was
 //!   received at 20 ms, but is queued only at the time of the line. The caller of a command that ends with `!` closes
-//!   its connection before the command is decided.
+//!   its connection before the command is decided. Callers that are asked to confirm a command do so at once, except
+//!   where it ends with `?`. `+ZONE^3?` was sent after the third request for confirmation.
 //! - Events: `commit N` and `fail N` are the outcomes of proposal N; after `commit N stale`, the lease is no
 //!   longer held. `foreign COMMAND` applies a command that another primary proposed. `deposed` means that
 //!   another node has become the primary.
-//! - Results: `proposed N` is a new proposal, and `COMMAND RESPONSE` is a response.
+//! - Results: `proposed N` is a new proposal, and `COMMAND RESPONSE` is a response. `confirm N` asks the caller to
+//!   confirm its command, by the request with this number.
 
 use crate::configuration;
 use quillpulley::control::commands::{Command, CommandQueue, Proposal};
+use quillpulley::control::confirmations::{ConfirmationId, Receipt};
 use quillpulley::control::response::Response;
 use quillpulley_control_state::ControlState;
 use quillpulley_protocol::Entry;
@@ -40,7 +43,8 @@
 }
 
 fn parse_command(text: &str) -> Command {
-    let text = text.trim_end_matches('!');
+    let text = text.trim_end_matches(['!', '?']);
+    let text = text.split('^').next().unwrap_or(text);
     if let Some((base, version)) = text.split_once('>') {
         return Command::Replace {
             base: base.parse().expect("the base is not a number"),
@@ -51,6 +55,12 @@
     Command::Evacuate { zone: zone.to_string(), active: sign == "+" }
 }
 
+/// Returns the request for confirmation after which a command was sent.
+fn parse_sent_after(text: &str) -> ConfirmationId {
+    let number = text.trim_end_matches('?').split_once('^').map(|(_, number)| number);
+    ConfirmationId(number.map_or(0, |number| number.parse().expect("the confirmation is not a number")))
+}
+
 impl Harness {
     fn queue_commands(&mut self, now: Duration, sent: &str) {
         for text in sent.split_whitespace() {
@@ -60,7 +70,8 @@
                 }
                 None => (now, text),
             };
-            self.commands.push(now, received_at, parse_command(text), text.to_string());
+            let receipt = Receipt { received_at, sent_after: parse_sent_after(text) };
+            self.commands.push(now, receipt, parse_command(text), text.to_string());
         }
     }
 
@@ -75,7 +86,7 @@
             }
             ["foreign", text] => {
                 let mut other = CommandQueue::default();
-                other.push(Duration::ZERO, Duration::ZERO, parse_command(text), ());
+                other.push(Duration::ZERO, Receipt::default(), parse_command(text), ());
                 let proposal = other.next_proposal(&self.state).expect("no such proposal");
                 self.apply(proposal.payload);
             }
@@ -104,18 +115,31 @@
     fn results(&mut self, now: Duration) -> String {
         self.commands.expire(now);
         let mut results = Vec::new();
-        while let Some(proposal) = self.commands.next_proposal(&self.state) {
-            results.push(format!("proposed {}", proposal.number));
-            self.proposed.insert(proposal.number, proposal);
+        let mut responses = Vec::new();
+        loop {
+            while let Some(proposal) = self.commands.next_proposal(&self.state) {
+                results.push(format!("proposed {}", proposal.number));
+                self.proposed.insert(proposal.number, proposal);
+            }
+            let new_responses = self.commands.take_responses();
+            if new_responses.is_empty() {
+                break;
+            }
+            for (sent, response) in new_responses {
+                match response {
+                    Response::ConfirmationRequired(id) if !sent.ends_with('?') => self.confirm(now, sent, id),
+                    response => responses.push(format!("{sent} {}", format_response(&response))),
+                }
+            }
         }
-        results.extend(
-            self.commands
-                .take_responses()
-                .into_iter()
-                .map(|(sent, response)| format!("{sent} {}", format_response(&response))),
-        );
+        results.extend(responses);
         results.join(", ")
     }
+
+    /// Sends a command again, whose caller was asked to confirm it.
+    fn confirm(&mut self, now: Duration, sent: String, sent_after: ConfirmationId) {
+        self.commands.push(now, Receipt { received_at: now, sent_after }, parse_command(&sent), sent);
+    }
 }
 
 fn format_response(response: &Response) -> String {
@@ -124,6 +148,7 @@
         Response::Conflict { current } => format!("conflict {current}"),
         Response::Invalid(_) => "invalid".to_string(),
         Response::Unavailable => "unavailable".to_string(),
+        Response::ConfirmationRequired(ConfirmationId(number)) => format!("confirm {number}"),
         Response::Redirect(_) => "redirect".to_string(),
         other => panic!("not a response to a command: {other:?}"),
     }
@@ -272,36 +297,77 @@
     let mut commands = CommandQueue::default();
     let large = Command::Replace { base: 0, body: vec![0; 4_000_000] };
     for number in 0..9 {
-        commands.push(Duration::ZERO, Duration::ZERO, large.clone(), number);
+        commands.push(Duration::ZERO, Receipt::default(), large.clone(), number);
     }
     assert_eq!(commands.take_responses(), [(8, Response::Unavailable)]);
 }
 
+/// Guards against late copies of orders that undo later ones.
 #[test]
 fn a_delayed_evacuation_does_not_undo_a_later_command() {
-    // A zone's evacuation is started and ended. Another start command, which was received before the end
-    // command, then reaches the queue late, because its thread did not run.
+    // A zone's evacuation is started and ended. A late copy of the start command then arrives, and a late copy that
+    // was sent when the first start command had to be confirmed.
+    run_timeline(
+        "  0 | +a       |          | proposed 1
+          10 |          | commit 1 | +a acknowledged
+          20 | -a       |          | proposed 2
+          30 |          | commit 2 | -a acknowledged
+          40 | 15@+a?   |          | +a? confirm 3
+          45 | 15@+a^1? |          | +a^1? confirm 3
+          50 | -a       |          | -a acknowledged
+          55 | 45@+a^3? |          | +a^3? confirm 4
+          60 | 55@+b    |          | proposed 3
+          70 |          | commit 3 | +b acknowledged
+          80 | +a       |          | proposed 4
+          90 |          | commit 4 | +a acknowledged",
+    );
+    // A request for confirmation ends with the next command for its zone even if that changes nothing, like `-a`, or
+    // if its outcome is unknown, like `+b`.
     run_timeline(
-        "  0 | +a    |          | proposed 1
-          10 |       | commit 1 | +a acknowledged
-          20 | -a    |          | proposed 2
-          30 |       | commit 2 | -a acknowledged
-          40 | 15@+a |          | +a unavailable
-          50 | -a    |          | -a acknowledged
-          60 | 55@+b |          | proposed 3
-          70 |       | commit 3 | +b acknowledged
-          80 | +a    |          | proposed 4
-          90 |       | commit 4 | +a acknowledged",
+        "  0 | +a?   |                | +a? confirm 1
+          10 | -a    |                | -a acknowledged
+          20 | +a^1? |                | +a^1? confirm 2
+          30 | +b    |                | proposed 1
+          40 |       | commit 1 stale | +b unavailable
+          50 | -b^3? |                | -b^3? confirm 4
+          60 | -b^4? |                | proposed 2",
     );
-    // A command is recorded as the latest one for its zone even if it changes nothing, like `-a`, or if its
-    // outcome is unknown, like `+b`.
+}
+
+/// Guards against callers that confirm a command in vain, because another copy of it arrives meanwhile.
+#[test]
+fn copies_of_a_command_share_their_request_for_confirmation() {
     run_timeline(
-        "  0 | -a         |                | -a acknowledged
-          10 | +b         |                | proposed 1
-          20 |            | commit 1 stale | +b unavailable
-          30 | 25@+a 5@-b |                | proposed 2
-          40 |            | commit 2       | +a acknowledged, -b unavailable
-          50 | 45@-a      |                | proposed 3",
+        "  0 | +a?   |          | +a? confirm 1
+          10 | +a?   |          | +a? confirm 1
+          20 | +b?   |          | +b? confirm 2
+          30 | +a^1? |          | proposed 1
+          40 |       | commit 1 | +a^1? acknowledged
+          50 | +a?   |          | +a? acknowledged",
+    );
+}
+
+/// Guards against commands that are executed long after their callers have gone.
+#[test]
+fn a_command_can_be_confirmed_for_three_seconds() {
+    run_timeline(
+        "  0 | +a?        |          | +a? confirm 1
+        2999 | 2999@+a^0? |          | +a^0? confirm 1
+        5990 | +a^1?      |          | proposed 1
+        6000 |            | commit 1 | +a^1? acknowledged
+        6100 | -a?        |          | -a? confirm 2
+        9100 | -a^2?      |          | -a^2? confirm 3",
+    );
+}
+
+/// Guards against late copies that a new primary, or one that was elected again, takes for confirmed.
+#[test]
+fn a_confirmation_is_not_valid_after_a_change_of_primary() {
+    run_timeline(
+        "  0 | +a?   |         | +a? confirm 1
+          10 |       | deposed |
+          20 | +a^1? |         | +a^1? confirm 2
+          30 | +a^2? |         | proposed 1",
     );
 }
 
@@ -317,13 +383,26 @@
 
 #[test]
 fn queued_commands_take_effect_in_order_after_the_one_in_flight() {
+    run_timeline(
+        "  0 | 0>5 |          | proposed 1
+          10 | 5>6 |          |
+          20 | 6>7 |          |
+          30 |     | commit 1 | proposed 2, 0>5 acknowledged
+          40 |     | commit 2 | proposed 3, 5>6 acknowledged
+          50 |     | commit 3 | 6>7 acknowledged",
+    );
+    // Evacuation commands of one zone, none of which was answered when the next one was sent, take effect in the
+    // order in which they are confirmed; a command that changes nothing needs no confirmation.
     run_timeline(
         "  0 | 0>5   |          | proposed 1
-          10 | +a    |          |
+          10 | +a?   |          |
           20 | -a    |          |
-          30 |       | commit 1 | proposed 2, 0>5 acknowledged
-          40 |       | commit 2 | proposed 3, +a acknowledged
-          50 |       | commit 3 | -a acknowledged",
+          30 |       | commit 1 | 0>5 acknowledged, +a? confirm 1, -a acknowledged
+          40 | +a^1? |          | +a^1? confirm 2
+          50 | +a^2? |          | proposed 2
+          60 | -a    |          |
+          70 |       | commit 2 | proposed 3, +a^2? acknowledged
+          80 |       | commit 3 | -a acknowledged",
     );
 }
 
--- a/crates/quillpulley/tests/control/processes.rs
+++ b/crates/quillpulley/tests/control/processes.rs
@@ -1,8 +1,11 @@
 //! Tests of control nodes that run as processes: their responses to operators, and the state that survives
 //! when processes end.
 
-use crate::cluster::{Cluster, Operation};
+use crate::api::request_text;
+use crate::cluster::{Cluster, Operation, TIMEOUT};
 use crate::configuration;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
 fn replace(cluster: &mut Cluster, base: u64, version: &str) -> u16 {
     cluster.call_until_definite(&Operation::replace(base, configuration(version))).status
@@ -249,3 +252,62 @@
         String::from_utf8_lossy(&response.body).contains(r#""Primary":null"#).then_some(())
     });
 }
+
+/// The connections of copies that are held up on their way, one to each machine.
+struct HeldUpCopies(Vec<TcpStream>);
+
+impl HeldUpCopies {
+    fn connect(cluster: &Cluster) -> Self {
+        let connect = |index| TcpStream::connect(cluster.control_address(index)).expect("cannot connect");
+        HeldUpCopies((0..3).map(connect).collect())
+    }
+
+    /// Has the copies of an order arrive, on connections whose ends never follow, and returns their statuses.
+    fn arrive(self, path: &str) -> Vec<String> {
+        let arrive = |mut copy: TcpStream| {
+            copy.write_all(request_text("POST", path).as_bytes()).ok()?;
+            copy.set_read_timeout(Some(TIMEOUT)).ok()?;
+            let mut response = String::new();
+            copy.read_to_string(&mut response).ok()?;
+            response.split(' ').nth(1).map(str::to_string)
+        };
+        self.0.into_iter().map(|copy| arrive(copy).unwrap_or_default()).collect()
+    }
+}
+
+/// Guards against late copies of orders that undo later ones, however long the ends of their connections take: at the
+/// primary, at backups, and at a node that has become the primary since.
+#[test]
+fn late_copies_of_an_order_are_not_executed() {
+    let mut cluster = Cluster::start(3, None);
+    for (order, opposite) in [("Start", "End"), ("End", "Start")] {
+        let operation = |name: &str| match name {
+            "Start" => Operation::start_evacuation("a"),
+            _ => Operation::end_evacuation("a"),
+        };
+        let status = |cluster: &mut Cluster, name| cluster.call_until_definite(&operation(name)).status;
+        assert_eq!(status(&mut cluster, order), 200);
+        let (copies, more_copies) = (HeldUpCopies::connect(&cluster), HeldUpCopies::connect(&cluster));
+        assert_eq!(status(&mut cluster, opposite), 200);
+        assert_eq!(status(&mut cluster, order), 200);
+        let path = format!("/v1/Evacuate.{opposite}/a");
+        let primary = cluster.primary();
+        let statuses = copies.arrive(&path);
+        assert_eq!(statuses[primary], "307", "late copies of {opposite}: {statuses:?}");
+        assert!(statuses.iter().all(|status| status != "200"), "{statuses:?}");
+        // Had one been executed, the order would have to be confirmed.
+        assert_eq!(cluster.call(primary, &operation(order)).map(|response| response.status), Some(200));
+
+        cluster.kill(primary);
+        let next = cluster.primary();
+        let statuses = more_copies.arrive(&path);
+        assert_eq!(
+            statuses[next], "307",
+            "late copies of {opposite} after a change of primary: {statuses:?}"
+        );
+        assert!(statuses.iter().all(|status| status != "200"), "{statuses:?}");
+        assert_eq!(cluster.call(next, &operation(order)).map(|response| response.status), Some(200));
+        cluster.start_process(primary);
+        cluster.wait_for_member(primary);
+    }
+}
--- a/crates/quillpulley/tests/operators/checker.rs
+++ b/crates/quillpulley/tests/operators/checker.rs
@@ -19,6 +19,8 @@
     min_version: u64,
     /// Whether a process may still act on the request.
     pub is_open: bool,
+    /// Whether its operator has stopped waiting for the response.
+    is_given_up: bool,
 }
 
 /// The outcome of all requests to activate a configuration.
@@ -77,14 +79,21 @@
             sent_at: now,
             min_version,
             is_open: true,
+            is_given_up: false,
         });
         self.sent_requests.len() - 1
     }
 
-    /// Returns whether a process may still act on a command for the zone.
+    /// Records that the operator of a request has stopped waiting for its response.
+    pub fn record_given_up(&mut self, id: RequestId) {
+        self.sent_requests[id].is_given_up = true;
+    }
+
+    /// Returns whether an operator waits for the response to a command for the zone.
     pub fn has_open_evacuation(&self, wanted: &str) -> bool {
         let is_open = |sent: &SentRequest| {
-            sent.is_open && matches!(&sent.request, Request::Evacuate { zone, .. } if zone == wanted)
+            let is_awaited = sent.is_open && !sent.is_given_up;
+            is_awaited && matches!(&sent.request, Request::Evacuate { zone, .. } if zone == wanted)
         };
         self.sent_requests.iter().any(is_open)
     }
@@ -142,8 +151,7 @@
         if let Some(response) = response {
             *self.responses.entry(response_kind(response)).or_default() += 1;
             self.check_response(&request, min_version, response);
-            if !matches!(response, Response::Unavailable | Response::Redirect(_)) && request != Request::Read
-            {
+            if is_definite(response) && request != Request::Read {
                 self.supersede_abandoned(sent_at);
             }
         }
@@ -155,6 +163,7 @@
     fn check_response(&mut self, request: &Request, min_version: u64, response: &Response) {
         match (request, response) {
             (_, Response::Unavailable | Response::Redirect(_)) => {}
+            (Request::Evacuate { .. }, Response::ConfirmationRequired(_)) => {}
             (Request::Replace { base, version, body, valid }, Response::Acknowledged) => {
                 assert!(*valid, "an invalid configuration on base version {base} is acknowledged");
                 self.acknowledge(*base, *version, body);
@@ -262,12 +271,24 @@
     }
 }
 
+/// Returns whether a response tells the operator the outcome of its request.
+pub fn is_definite(response: &Response) -> bool {
+    !matches!(
+        response,
+        Response::Unavailable
+            | Response::Redirect(_)
+            | Response::ConfirmationRequired(_)
+            | Response::HistoryExpired { .. }
+    )
+}
+
 fn response_kind(response: &Response) -> &'static str {
     match response {
         Response::Acknowledged => "acknowledged",
         Response::Conflict { .. } => "conflict",
         Response::Invalid(_) => "invalid",
         Response::Redirect(_) => "redirect",
+        Response::ConfirmationRequired(_) => "confirmation",
         Response::Unavailable => "unavailable",
         Response::HistoryExpired { .. } => "expired",
         Response::Configuration(_) | Response::NoConfiguration | Response::Status(_) => "read",
--- a/crates/quillpulley/tests/operators/faults.rs
+++ b/crates/quillpulley/tests/operators/faults.rs
@@ -4,6 +4,7 @@
 use super::network::NetworkOptions;
 use super::node::{Input, Node};
 use super::world::{address, zone, ScheduledEvent, World};
+use quillpulley::control::confirmations::ConfirmationId;
 use quillpulley_protocol::NodeId;
 use quillpulley_replication::{Event, FaultTolerance, Locality, Options, Role};
 
@@ -29,6 +30,7 @@
         };
         slot.node = Some(Node::new(options, slot.disk.recovered(), self.fault));
         slot.process += 1;
+        slot.confirmation = ConfirmationId::default();
         slot.started_at = self.now;
         slot.frozen = false;
         let process = slot.process;
@@ -139,7 +141,7 @@
     pub fn heal(&mut self) {
         self.network.heal_all();
         self.network.options = NetworkOptions::default();
-        self.lost_response_percent = 0;
+        (self.lost_response_percent, self.held_up_percent) = (0, 0);
         for machine in 0..self.machines.len() {
             self.set_disk_mode(machine, DiskMode::Healthy);
             if self.machines[machine].frozen {
--- a/crates/quillpulley/tests/operators/injected_faults.rs
+++ b/crates/quillpulley/tests/operators/injected_faults.rs
@@ -38,6 +38,11 @@
         .is_some());
 }
 
+#[test]
+fn evacuation_commands_that_nobody_confirms_are_detected() {
+    assert!(first_expected_failure(Fault::NoConfirmation, &["changed without a command"]).is_some());
+}
+
 #[test]
 fn snapshots_without_the_history_are_detected() {
     assert!(first_expected_failure(Fault::OmitHistory, &["that was activated is rejected"]).is_some());
--- a/crates/quillpulley/tests/operators/node.rs
+++ b/crates/quillpulley/tests/operators/node.rs
@@ -1,6 +1,7 @@
 //! A control node: a replica and the command queue, connected as in the replica host.
 
 use quillpulley::control::commands::{Command, CommandQueue};
+use quillpulley::control::confirmations::{ConfirmationId, Receipt};
 use quillpulley::control::response::Response;
 use quillpulley_control_state::{ControlState, EvacuationDecision, ReplaceDecision};
 use quillpulley_protocol::{
@@ -27,13 +28,16 @@
     OverlappingCommands,
     /// Snapshots omit the history of earlier configurations.
     OmitHistory,
+    /// Every evacuation command counts as confirmed by its caller.
+    NoConfirmation,
 }
 
 /// An input of a control node.
 #[derive(Clone, Debug)]
 pub enum Input {
     Event(Event),
-    Command(RequestId, Command),
+    /// A command, and the newest request for confirmation of this process after which it was sent.
+    Command(RequestId, Command, ConfirmationId),
     Read(RequestId),
 }
 
@@ -94,7 +98,7 @@
                     self.commands.expire(now);
                 }
             }
-            Input::Command(id, command) => self.handle_command(now, id, command),
+            Input::Command(id, command, sent_after) => self.handle_command(now, id, command, sent_after),
             Input::Read(id) => {
                 self.update_leadership(now);
                 let response =
@@ -110,7 +114,7 @@
         self.replica.holds_lease(now)
     }
 
-    fn handle_command(&mut self, now: Duration, id: RequestId, command: Command) {
+    fn handle_command(&mut self, now: Duration, id: RequestId, command: Command, sent_after: ConfirmationId) {
         self.update_leadership(now);
         if !self.is_leader {
             let response = self.redirect_response(now);
@@ -118,10 +122,25 @@
         } else if self.fault == Fault::OverlappingCommands {
             self.decide_without_queue(now, id, &command);
         } else {
-            self.commands.push(now, now, command, id);
+            let sent_after = match self.fault {
+                Fault::NoConfirmation => self.request_confirmation(now, &command),
+                _ => sent_after,
+            };
+            self.commands.push(now, Receipt { received_at: now, sent_after }, command, id);
         }
     }
 
+    /// Has a copy of a command decided that is not confirmed, so that the next copy counts as confirmed.
+    fn request_confirmation(&mut self, now: Duration, command: &Command) -> ConfirmationId {
+        if matches!(command, Command::Evacuate { .. }) && self.holds_lease(now) && self.commands.is_idle() {
+            let receipt = Receipt { received_at: now, ..Receipt::default() };
+            self.commands.push(now, receipt, command.clone(), RequestId::MAX);
+            let proposal = self.commands.next_proposal_for(&self.replica);
+            assert!(proposal.is_none(), "a command is executed although it is not confirmed");
+        }
+        ConfirmationId(u64::MAX)
+    }
+
     /// Checks that a newly elected primary has applied all entries that it inherited, before it decides a
     /// command or answers a request.
     fn check_new_primary(&mut self, now: Duration) {
@@ -142,6 +161,9 @@
         } else {
             self.holds_lease(now)
         };
+        if !self.is_leader && is_leader {
+            self.commands.begin_term();
+        }
         if self.is_leader && !is_leader {
             let response = self.redirect_response(now);
             self.commands.abandon(&response);
@@ -158,8 +180,8 @@
                 Event::Propose { proposal: proposal.number, payload: proposal.payload },
             );
         }
-        let responses = self.commands.take_responses();
-        self.outputs.extend(responses.into_iter().map(|(id, response)| Output::Response(id, response)));
+        let responses = self.commands.take_responses().into_iter().filter(|(id, _)| *id != RequestId::MAX);
+        self.outputs.extend(responses.map(|(id, response)| Output::Response(id, response)));
     }
 
     fn next_proposal(&mut self, now: Duration) -> Option<quillpulley::control::commands::Proposal> {
--- a/crates/quillpulley/tests/operators/operator.rs
+++ b/crates/quillpulley/tests/operators/operator.rs
@@ -1,6 +1,7 @@
 //! A simulated operator. It has one pending request at a time, and resends it unchanged until it gets a
 //! definite response or abandons the request.
 
+use super::checker::is_definite;
 use super::node::RequestId;
 use super::requests::{Request, INVALID_KIND_COUNT};
 use super::world::{address, World};
@@ -69,11 +70,14 @@
             match world.response_to(id).cloned() {
                 Some(response) => {
                     pending.sent = None;
-                    if self.handle_response(world, &mut pending, response) {
+                    if self.handle_response(world, &mut pending, id, response) {
                         return;
                     }
                 }
-                None if world.now > sent_at + RESPONSE_TIMEOUT_MS => pending.sent = None,
+                None if world.now > sent_at + RESPONSE_TIMEOUT_MS => {
+                    world.checker.record_given_up(id);
+                    pending.sent = None;
+                }
                 None => {}
             }
             pending.next_at = pending.next_at.max(world.now);
@@ -93,6 +97,7 @@
         &mut self,
         world: &mut World,
         pending: &mut PendingRequest,
+        id: RequestId,
         response: Option<Response>,
     ) -> bool {
         match response {
@@ -103,12 +108,19 @@
                 send(world, pending, found.expect("a redirect names the address of a machine"));
                 false
             }
-            None | Some(Response::Redirect(_) | Response::Unavailable | Response::HistoryExpired { .. }) => {
+            Some(Response::ConfirmationRequired(_)) if pending.redirects < MAX_REDIRECTS => {
+                pending.redirects += 1;
+                let machine = world.target_machine(id);
+                send(world, pending, machine);
+                false
+            }
+            response if !response.as_ref().is_some_and(is_definite) => {
                 pending.redirects = 0;
                 pending.next_at = world.now + world.random.u64(1..MAX_BACKOFF_MS);
                 false
             }
-            Some(response) => {
+            response => {
+                let Some(response) = response else { return false };
                 self.update_knowledge(world, &pending.request, &response);
                 self.completed += 1;
                 true
--- a/crates/quillpulley/tests/operators/scenarios.rs
+++ b/crates/quillpulley/tests/operators/scenarios.rs
@@ -1,9 +1,10 @@
 //! Scenarios, most of which are repeated with a fault at each millisecond after a command was sent.
 
+use super::checker::is_definite;
 use super::network::NetworkOptions;
 use super::node::{Fault, RequestId};
 use super::requests::Request;
-use super::world::World;
+use super::world::{Connection, World};
 use quillpulley::control::response::Response;
 
 /// The times at which a fault is injected, in milliseconds after a command was sent. The range covers the
@@ -31,9 +32,13 @@
     for send in 0..MAX_SENDS {
         let id = world.send_request(send % world.machines.len(), request);
         response = await_response(world, id);
+        if let Some(Response::ConfirmationRequired(_)) = response {
+            let confirmed = world.send_request(world.target_machine(id), request);
+            response = await_response(world, confirmed);
+        }
         match &response {
-            None | Some(Response::Unavailable | Response::Redirect(_)) => world.run_for(100),
-            Some(definite) => return definite.clone(),
+            Some(definite) if is_definite(definite) => return definite.clone(),
+            _ => world.run_for(100),
         }
     }
     panic!("a command gets no definite response; the last response is {response:?}");
@@ -268,3 +273,89 @@
         assert!(world.run_until(2000, has_all), "started after {pause_ms} ms");
     }
 }
+
+/// When the connection of a late copy is opened.
+#[derive(Clone, Copy, Debug)]
+enum Opened {
+    BeforeTheLaterCommands,
+    WhenTheCopyArrives,
+}
+
+/// Where a late copy arrives.
+#[derive(Clone, Copy, Debug)]
+enum Arrival {
+    Primary,
+    Backup,
+    NewPrimary,
+}
+
+/// Gives `active`, its opposite and `active` again for a zone; each is acknowledged. A copy of the opposite command
+/// that was sent before arrives after all of them. Its operator has gone, and follows no response.
+fn deliver_late_copy(seed: u64, active: bool, opened: Opened, arrival: Arrival) {
+    let (mut world, leader) = start_with_version_5(seed);
+    let evacuate = |active| Request::Evacuate { zone: "z".to_string(), active };
+    let case = format!("{active} {opened:?} {arrival:?}");
+    assert_eq!(send_until_definite(&mut world, &evacuate(active)), Response::Acknowledged, "{case}");
+    let early: Vec<Connection> = (0..3).map(|machine| world.connect(machine)).collect();
+    assert_eq!(send_until_definite(&mut world, &evacuate(!active)), Response::Acknowledged, "{case}");
+    assert_eq!(send_until_definite(&mut world, &evacuate(active)), Response::Acknowledged, "{case}");
+    let target = match arrival {
+        Arrival::Primary => leader,
+        Arrival::Backup => (leader + 1) % 3,
+        Arrival::NewPrimary => {
+            world.kill(leader);
+            assert!(world.run_until(ELECTION_TIMEOUT_MS, |world| world.leader().is_some()), "{case}");
+            world.leader().expect("there is a leader")
+        }
+    };
+    let connection = match opened {
+        Opened::BeforeTheLaterCommands => early[target],
+        Opened::WhenTheCopyArrives => world.connect(target),
+    };
+    let copy = world.send_held_up(target, &evacuate(!active), connection, 1);
+    world.checker.record_given_up(copy);
+    world.checker.confirm_evacuation("z", active);
+    world.run_for(2000);
+    assert_eq!(world.checker.state.is_evacuated("z"), active, "{case}: {:?}", world.response_to(copy));
+}
+
+//    operator | +z | -z, a copy is held up | -z again | +z |                  | nothing
+//    copy     |    |                       |          |    | arrives after +z |
+/// Guards against late copies of orders that undo later ones, whenever the end of their connection arrives: here it
+/// never does.
+#[test]
+fn a_late_copy_of_an_evacuation_command_does_not_undo_a_later_one() {
+    let mut seed = 0;
+    for active in [true, false] {
+        for opened in [Opened::BeforeTheLaterCommands, Opened::WhenTheCopyArrives] {
+            for arrival in [Arrival::Primary, Arrival::Backup, Arrival::NewPrimary] {
+                for _ in 0..5 {
+                    seed += 1;
+                    deliver_late_copy(seed, active, opened, arrival);
+                }
+            }
+        }
+    }
+}
+
+//    operator | +z | -z      |                  | -z again | +z |                    | nothing
+//    copy     |    |         | sent, as it asks |          |    | arrives after +z   |
+/// Guards against late copies that were sent when their caller was asked to confirm them.
+#[test]
+fn a_late_confirmation_of_an_evacuation_command_does_not_undo_a_later_one() {
+    for active in [true, false] {
+        let (mut world, leader) = start_with_version_5(1);
+        let evacuate = |active| Request::Evacuate { zone: "z".to_string(), active };
+        assert_eq!(send_until_definite(&mut world, &evacuate(active)), Response::Acknowledged);
+        let first = world.send_request(leader, &evacuate(!active));
+        assert!(matches!(await_response(&mut world, first), Some(Response::ConfirmationRequired(_))));
+        let confirmation = world.send_held_up(leader, &evacuate(!active), world.connect(leader), 1500);
+        world.checker.record_given_up(confirmation);
+        assert_eq!(send_until_definite(&mut world, &evacuate(!active)), Response::Acknowledged);
+        assert_eq!(send_until_definite(&mut world, &evacuate(active)), Response::Acknowledged);
+        world.checker.confirm_evacuation("z", active);
+        world.run_for(3000);
+        assert!(!world.checker.sent_requests[confirmation].is_open);
+        assert_eq!(world.checker.state.is_evacuated("z"), active);
+    }
+}
--- a/crates/quillpulley/tests/operators/world.rs
+++ b/crates/quillpulley/tests/operators/world.rs
@@ -6,6 +6,7 @@
 use super::node::{Fault, Input, Node, Output, RequestId};
 use super::operator::Operator;
 use super::requests::Request;
+use quillpulley::control::confirmations::ConfirmationId;
 use quillpulley::control::response::Response;
 use quillpulley_protocol::{Body, NodeId};
 use quillpulley_replication::{Event, Locality, Write, WriteFailed};
@@ -20,6 +21,8 @@
 const MIN_POLL_INTERVAL_MS: u64 = 10;
 /// The minimum duration of a write.
 const MIN_WRITE_MS: u64 = 2;
+/// The time for which a request is held up on its way, if it is.
+const HELD_UP_MS: std::ops::Range<u64> = 200..6000;
 /// The time that a process takes to detect a broken connection.
 const DISCONNECT_DETECTION_MS: u64 = 300;
 
@@ -34,6 +37,8 @@
     pub node: Option<Node>,
     /// The number of processes started on this machine, which identifies the latest one.
     pub process: u64,
+    /// The newest request for confirmation that the latest process has sent.
+    pub confirmation: ConfirmationId,
     /// The start time of the latest process, at which its clock shows 0.
     pub started_at: u64,
     pub frozen: bool,
@@ -59,6 +64,14 @@
     Poll { operator: usize },
 }
 
+/// A connection of an operator to a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Connection {
+    process: u64,
+    /// The newest request for confirmation that the process had sent when the connection was opened.
+    opened_after: ConfirmationId,
+}
+
 /// The state of a simulation. Times are in milliseconds since its start.
 pub struct World {
     pub now: u64,
@@ -78,6 +91,10 @@
     pub random: fastrand::Rng,
     /// The machine to which each request was sent, by request id.
     pub(super) target_machines: Vec<usize>,
+    /// The connection on which each request was sent, by request id.
+    connections: Vec<Connection>,
+    /// The percentage of requests that are held up on their way.
+    pub held_up_percent: u32,
     /// The scheduled events by time, then by the order in which they were scheduled.
     queue: BinaryHeap<Reverse<(u64, u64, ScheduledEvent)>>,
     /// The number of events scheduled so far, which orders events of the same time.
@@ -99,6 +116,8 @@
             lost_response_percent: 0,
             random: fastrand::Rng::with_seed(seed),
             target_machines: Vec::new(),
+            connections: Vec::new(),
+            held_up_percent: 0,
             queue: BinaryHeap::new(),
             sequence: 0,
         };
@@ -115,14 +134,39 @@
         self.schedule(MIN_POLL_INTERVAL_MS, ScheduledEvent::Poll { operator });
     }
 
+    /// Sends a request on a connection of its own.
     pub fn send_request(&mut self, machine: usize, request: &Request) -> RequestId {
+        let is_held_up = self.random.u32(0..100) < self.held_up_percent;
+        let delay = if is_held_up { self.random.u64(HELD_UP_MS) } else { self.random.u64(1..20) };
+        self.send_held_up(machine, request, self.connect(machine), delay)
+    }
+
+    /// Sends a request that arrives after `delay`.
+    pub fn send_held_up(
+        &mut self,
+        machine: usize,
+        request: &Request,
+        connection: Connection,
+        delay: u64,
+    ) -> RequestId {
         let id = self.checker.record_sent(self.now, request);
         self.target_machines.push(machine);
-        let delay = self.random.u64(1..20);
+        self.connections.push(connection);
         self.schedule(delay, ScheduledEvent::DeliverRequest { machine, id });
         id
     }
 
+    /// Opens a connection to a machine.
+    pub fn connect(&self, machine: usize) -> Connection {
+        let Machine { process, confirmation, .. } = self.machines[machine];
+        Connection { process, opened_after: confirmation }
+    }
+
+    /// Returns the machine to which a request was sent.
+    pub fn target_machine(&self, id: RequestId) -> usize {
+        self.target_machines[id]
+    }
+
     /// Returns what the caller sees at this time: `Some(Some(_))` is a response, `Some(None)` is the end of
     /// the connection, `None` means that the request is still open or that its response was lost.
     pub fn response_to(&self, id: RequestId) -> Option<&Option<Response>> {
@@ -190,8 +234,12 @@
         if self.machines[machine].node.is_none() {
             return self.complete_request(id, None);
         }
+        let Connection { process, opened_after } = self.connections[id];
+        let is_same_process = process == self.machines[machine].process;
+        // A process that has started since accepts the connection anew, and has requested nothing before.
+        let sent_after = if is_same_process { opened_after } else { ConfirmationId::default() };
         let input = match self.checker.sent_requests[id].request.command() {
-            Some(command) => Input::Command(id, command),
+            Some(command) => Input::Command(id, command, sent_after),
             None => Input::Read(id),
         };
         self.handle(machine, input);
@@ -276,7 +324,13 @@
                 self.schedule(delay, ScheduledEvent::WriteDone { machine, process, ticket });
             }
             Output::Applied { index, entry } => self.checker.record_applied(index, entry),
-            Output::Response(id, response) => self.complete_request(id, Some(response)),
+            Output::Response(id, response) => {
+                if let Response::ConfirmationRequired(confirmation) = response {
+                    let newest = &mut self.machines[machine].confirmation;
+                    *newest = confirmation.max(*newest);
+                }
+                self.complete_request(id, Some(response));
+            }
         }
     }
 
@@ -326,6 +380,7 @@
             bootstrap: true,
             node: None,
             process: 0,
+            confirmation: ConfirmationId::default(),
             started_at: 0,
             frozen: false,
             buffered: VecDeque::new(),
