--- a/crates/quillpulley/src/control/discovery/fetcher.rs
+++ b/crates/quillpulley/src/control/discovery/fetcher.rs
@@ -19,41 +19,39 @@
 
 /// The handle of the fetching thread.
 pub struct Fetcher {
-    fetches: Sender<Fetch>,
+    fetches: Sender<(SocketAddr, Fetch)>,
 }
 
 impl Fetcher {
-    /// Starts the thread, which fetches pages from `platform` and calls `deliver` with each outcome.
+    /// Starts the thread, which fetches pages and calls `deliver` with each outcome.
     ///
     /// # Errors
     /// [`HostError::Runtime`] if the thread cannot be started.
-    pub fn start<D>(platform: SocketAddr, deliver: D) -> Result<Self, HostError>
+    pub fn start<D>(deliver: D) -> Result<Self, HostError>
     where
         D: Fn(Fetched) + Send + 'static,
     {
         let (fetches, queue) = mpsc::channel();
-        thread::Builder::new()
-            .spawn(move || fetch_all(platform, &queue, deliver))
-            .map_err(HostError::Runtime)?;
+        thread::Builder::new().spawn(move || fetch_all(&queue, deliver)).map_err(HostError::Runtime)?;
         Ok(Fetcher { fetches })
     }
 
-    /// Queues a page to be fetched. Pages are fetched in the order of the calls.
-    pub fn fetch(&self, fetch: Fetch) {
-        if self.fetches.send(fetch).is_err() {
+    /// Queues a page to be fetched from `platform`. Pages are fetched in the order of the calls.
+    pub fn fetch(&self, platform: SocketAddr, fetch: Fetch) {
+        if self.fetches.send((platform, fetch)).is_err() {
             log::error!("the thread that fetches the platform's list has exited: restart the process");
         }
     }
 }
 
-fn fetch_all(platform: SocketAddr, queue: &Receiver<Fetch>, deliver: impl Fn(Fetched)) {
+fn fetch_all(queue: &Receiver<(SocketAddr, Fetch)>, deliver: impl Fn(Fetched)) {
     let config = Agent::config_builder()
         .timeout_global(Some(REQUEST_TIMEOUT))
         .http_status_as_error(false)
         .max_redirects(0)
         .build();
     let agent = Agent::new_with_config(config);
-    while let Ok(fetch) = queue.recv() {
+    while let Ok((platform, fetch)) = queue.recv() {
         deliver(fetch_page(&agent, platform, fetch));
     }
 }
--- a/crates/quillpulley/src/control/discovery/mod.rs
+++ b/crates/quillpulley/src/control/discovery/mod.rs
@@ -11,7 +11,9 @@
 
 use fetcher::{Fetched, Fetcher};
 use page::Reading;
+use quillpulley_settings::Platform;
 use reader::{Fetch, ListReader, ReaderAction, ReaderOptions};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Interval between the starts of two readings of the list, if the platform's rate limit allows it.
@@ -20,18 +22,30 @@
 /// Reads the platform's list repeatedly while this process is the leader.
 pub struct ServiceDiscovery {
     reader: ListReader,
-    /// The thread that fetches pages; `None` if no list is configured.
-    fetcher: Option<Fetcher>,
+    fetcher: Fetcher,
+    /// Where the list is read; `None` if no list is configured.
+    platform: Option<SocketAddr>,
     /// The number of entries of the last complete reading that could not be parsed.
     unreadable_entries: usize,
 }
 
 impl ServiceDiscovery {
-    /// Creates a reader of a list whose platform accepts `rate_per_s` requests per second from all machines
-    /// together.
-    pub fn new(fetcher: Option<Fetcher>, rate_per_s: f64) -> Self {
-        let reader = ListReader::new(ReaderOptions { interval: READING_INTERVAL, rate_per_s });
-        ServiceDiscovery { reader, fetcher, unreadable_entries: 0 }
+    /// Creates a reader of the list of a platform; `None` if no list is configured.
+    pub fn new(fetcher: Fetcher, platform: Option<&Platform>) -> Self {
+        let reader = ListReader::new(reader_options(platform));
+        let platform = platform.map(|platform| platform.address);
+        ServiceDiscovery { reader, fetcher, platform, unreadable_entries: 0 }
+    }
+
+    /// Reads the list of another platform, or at another rate, from now on. A reading that is in progress is
+    /// discarded if the list has moved.
+    pub fn set_platform(&mut self, now: Duration, platform: Option<&Platform>) {
+        self.reader.set_options(reader_options(platform));
+        let address = platform.map(|platform| platform.address);
+        if address != self.platform {
+            self.platform = address;
+            self.reader.reset(now);
+        }
     }
 
     /// Discards the reading in progress and starts a new one, as this process has become the leader.
@@ -41,7 +55,7 @@
 
     /// Fetches the first page if a reading is due.
     pub fn tick(&mut self, now: Duration, is_leader: bool) {
-        if self.fetcher.is_some() {
+        if self.platform.is_some() {
             let due = self.reader.tick(now, is_leader);
             self.fetch(due);
         }
@@ -74,8 +88,8 @@
     }
 
     fn fetch(&mut self, fetch: Option<Fetch>) {
-        if let (Some(fetcher), Some(fetch)) = (&self.fetcher, fetch) {
-            fetcher.fetch(fetch);
+        if let (Some(platform), Some(fetch)) = (self.platform, fetch) {
+            self.fetcher.fetch(platform, fetch);
         }
     }
 
@@ -87,3 +101,8 @@
         }
     }
 }
+
+fn reader_options(platform: Option<&Platform>) -> ReaderOptions {
+    let rate_per_s = platform.map_or(0.0, |platform| platform.rate_per_s);
+    ReaderOptions { interval: READING_INTERVAL, rate_per_s }
+}
--- a/crates/quillpulley/src/control/discovery/reader.rs
+++ b/crates/quillpulley/src/control/discovery/reader.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Sets the options of the readings that follow.
+    pub fn set_options(&mut self, options: ReaderOptions) {
+        self.options = options;
+    }
+
     /// Starts a new reading, as after an election. The result of a page that is being fetched will be
     /// discarded.
     pub fn reset(&mut self, now: Duration) {
--- a/crates/quillpulley/src/control/replica_host/components.rs
+++ b/crates/quillpulley/src/control/replica_host/components.rs
@@ -22,8 +22,8 @@
     pub replica: Replica<ControlState>,
     /// The thread that writes to disk.
     pub storage: StorageThread,
-    /// The thread that fetches the platform's list; `None` if no platform is configured.
-    pub fetcher: Option<Fetcher>,
+    /// The thread that fetches the platform's list.
+    pub fetcher: Fetcher,
     /// The directory from which clients are served.
     pub directory: DirectoryHandle,
 }
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -5,7 +5,7 @@
 
 use super::components::Components;
 use super::links::{LinkEvent, Links};
-use super::seeds::Seeds;
+use super::settings_watch::SettingsWatch;
 use super::status;
 use super::status_snapshot::StatusSnapshot;
 use super::storage_thread::{StorageThread, WriteCompletion};
@@ -32,7 +32,7 @@
     /// The number of clock jumps of which the replica has been notified.
     known_jumps: u64,
     me: NodeId,
-    settings: Settings,
+    settings: SettingsWatch,
     replica: Replica<ControlState>,
     storage: StorageThread,
     discovery: ServiceDiscovery,
@@ -41,7 +41,6 @@
     relay: RelayNode,
     commands: CommandQueue<Responder>,
     publisher: LeaderPublisher,
-    seeds: Seeds,
 }
 
 impl ControlHost {
@@ -49,14 +48,12 @@
     pub fn new(settings: Settings, components: Components) -> Self {
         let Components { clock, me, peers, replica, storage, fetcher, directory } = components;
         let now = clock.now();
-        let rate_per_s = settings.platform.as_ref().map_or(0.0, |platform| platform.rate_per_s);
         let node = ControlNode { ip: me.ip, zone: settings.zone.clone(), region: settings.region.clone() };
         let mut host = ControlHost {
             links: Links::new(node, peers),
             relay: RelayNode::new(clock.clone(), &settings.node_name, settings.limits.link_mbps),
-            discovery: ServiceDiscovery::new(fetcher, rate_per_s),
-            seeds: Seeds::new(now, settings.seeds.clone()),
-            settings,
+            discovery: ServiceDiscovery::new(fetcher, settings.platform.as_ref()),
+            settings: SettingsWatch::new(now, settings),
             known_jumps: clock.jumps(),
             clock,
             me,
@@ -165,8 +162,8 @@
         self.relay.tick_directory(now);
         self.forget_control_nodes(now);
         let is_isolated = self.replica.view().is_none() && self.links.has_no_connection();
-        if self.seeds.is_reload_due(now, is_isolated) {
-            self.reload_seeds();
+        if self.settings.is_reload_due(now, is_isolated) {
+            self.reload_settings();
         }
         self.reconcile();
     }
@@ -195,18 +192,21 @@
 
     /// Returns the time between SIGTERM and SIGKILL.
     pub fn grace_period(&self) -> Duration {
-        self.settings.bounds.grace
+        self.settings.settings().bounds.grace
     }
 
-    /// Reloads the seeds from the settings file.
-    pub fn reload_seeds(&mut self) {
-        self.seeds.reload();
-        self.learn_control_nodes(self.clock.now());
+    /// Reads the settings file again, and applies what a running process can change.
+    pub fn reload_settings(&mut self) {
+        let now = self.clock.now();
+        if self.settings.update(now, Settings::from_environment()) {
+            self.discovery.set_platform(now, self.settings.settings().platform.as_ref());
+        }
+        self.learn_control_nodes(now);
         self.reconcile();
     }
 
     fn learn_control_nodes(&mut self, now: Duration) {
-        self.links.learn(now, self.seeds.addresses());
+        self.links.learn(now, self.settings.seeds());
         self.links.learn(now, self.replica.known_nodes().iter().map(NodeId::address));
     }
 
@@ -218,9 +218,9 @@
 
     fn snapshot(&self) -> StatusSnapshot<'_> {
         StatusSnapshot {
-            name: &self.settings.node_name,
+            name: &self.settings.settings().node_name,
             me: self.me,
-            control_port: self.settings.listen.control.map(|address| address.port()),
+            control_port: self.settings.settings().listen.control.map(|address| address.port()),
             replica: &self.replica,
         }
     }
@@ -263,7 +263,7 @@
         // as unknown.
         self.send_responses(Duration::ZERO);
         self.update_directory(now);
-        self.links.connect_due(now, self.settings.control_port());
+        self.links.connect_due(now, self.settings.settings().control_port());
     }
 
     /// Updates the leadership from the role and the lease of the replica.
--- a/crates/quillpulley/src/control/replica_host/mod.rs
+++ b/crates/quillpulley/src/control/replica_host/mod.rs
@@ -6,7 +6,7 @@
 pub(crate) mod links;
 pub mod peer_table;
 pub mod process;
-mod seeds;
+mod settings_watch;
 mod status;
 mod status_snapshot;
 pub mod storage_thread;
--- a/crates/quillpulley/src/control/replica_host/process.rs
+++ b/crates/quillpulley/src/control/replica_host/process.rs
@@ -96,12 +96,7 @@
         request_sender.try_send(request).map_err(|rejected| rejected.into_inner())
     })?;
 
-    let fetcher = match &settings.platform {
-        Some(platform) => Some(Fetcher::start(platform.address, move |page| {
-            send(&event_sender, ThreadEvent::Fetched(page))
-        })?),
-        None => None,
-    };
+    let fetcher = Fetcher::start(move |page| send(&event_sender, ThreadEvent::Fetched(page)))?;
     let now = clock.now();
     let replica = Replica::new(options(&settings, me), recovered, ControlState::default(), now)?;
     let components = Components { clock, me, peers, replica, storage, fetcher, directory };
@@ -142,7 +137,7 @@
             Some(signal) = sources.signals.recv() => match signal {
                 ProcessSignal::Shutdown if exit.is_none() => exit = Some(begin_shutdown(&mut host)),
                 ProcessSignal::Shutdown => {}
-                ProcessSignal::Reload => host.reload_seeds(),
+                ProcessSignal::Reload => host.reload_settings(),
             },
             _ = ticks.tick() => host.tick(),
             Some(event) = sources.threads.recv() => match event {
--- a/crates/quillpulley/tests/control/cluster.rs
+++ b/crates/quillpulley/tests/control/cluster.rs
@@ -107,6 +107,20 @@
         self.write_settings(index);
     }
 
+    /// Replaces the address of the platform's list in the settings files of all machines, without signalling their
+    /// processes.
+    pub fn set_platform(&mut self, platform: SocketAddr) {
+        self.platform = Some(platform);
+        (0..self.machines.len()).for_each(|index| drop(self.write_settings(index)));
+    }
+
+    /// Replaces the settings file of a machine by its first part, as if it was being written.
+    pub fn truncate_settings(&mut self, index: usize, end: &str) {
+        let text = self.settings(index);
+        let length = text.find(end).expect("the settings lack the end");
+        std::fs::write(self.write_settings(index), &text[..length]).expect("cannot write the settings file");
+    }
+
     fn write_settings(&self, index: usize) -> PathBuf {
         let path = self.folder.join(format!("core-{index}.toml"));
         std::fs::create_dir_all(&self.folder).expect("cannot create the folder");
--- a/crates/quillpulley/tests/control/frozen_host.rs
+++ b/crates/quillpulley/tests/control/frozen_host.rs
@@ -6,6 +6,7 @@
 use quillpulley::control::api::{self, ApiRequest, Faults};
 use quillpulley::control::clock::Clock;
 use quillpulley::control::directory::DirectoryHandle;
+use quillpulley::control::discovery::fetcher::Fetcher;
 use quillpulley::control::replica_host::components::Components;
 use quillpulley::control::replica_host::host::ControlHost;
 use quillpulley::control::replica_host::storage_thread::{StorageThread, WriteCompletion};
@@ -84,7 +85,7 @@
             peers,
             replica: replica.expect("cannot start the replica"),
             storage: storage_thread,
-            fetcher: None,
+            fetcher: Fetcher::start(|_| {}).expect("cannot start the thread"),
             directory: DirectoryHandle::default(),
         };
         let host = ControlHost::new(settings(api, &folder), components);
--- a/crates/quillpulley/tests/control/platform.rs
+++ b/crates/quillpulley/tests/control/platform.rs
@@ -75,10 +75,10 @@
         vec![(200, PAGE.to_string()), (429, String::new()), (500, String::new()), (200, "x".to_string())];
     let (address, paths) = start_platform(responses);
     let (send, outcomes) = mpsc::channel();
-    let fetcher = Fetcher::start(address, move |outcome| send.send(outcome).expect("the test has ended"));
+    let fetcher = Fetcher::start(move |outcome| send.send(outcome).expect("the test has ended"));
     let fetcher = fetcher.expect("cannot start the thread");
     let fetch = |token: Option<&str>| {
-        fetcher.fetch(Fetch { token: token.map(str::to_string) });
+        fetcher.fetch(address, Fetch { token: token.map(str::to_string) });
         let outcome = outcomes.recv_timeout(TIMEOUT).expect("no outcome");
         (outcome, paths.recv_timeout(TIMEOUT).expect("no request"))
     };
@@ -97,7 +97,7 @@
     let address = listener.local_addr().expect("no valid address");
     drop(listener);
     let (send, outcomes) = mpsc::channel();
-    let fetcher = Fetcher::start(address, move |outcome| send.send(outcome).expect("the test has ended"));
-    fetcher.expect("cannot start the thread").fetch(Fetch { token: None });
+    let fetcher = Fetcher::start(move |outcome| send.send(outcome).expect("the test has ended"));
+    fetcher.expect("cannot start the thread").fetch(address, Fetch { token: None });
     assert!(matches!(outcomes.recv_timeout(TIMEOUT), Ok(Err(FetchError::Failed(_)))));
 }
--- a/crates/quillpulley/tests/control/tree.rs
+++ b/crates/quillpulley/tests/control/tree.rs
@@ -126,3 +126,52 @@
         });
     }
 }
+
+/// Starts control nodes, and moves the platform's list to an address where it has another server.
+fn with_moved_list() -> (Cluster, Agents, Platform) {
+    let platform = Platform::start(&["i-1 ready"]);
+    let mut cluster = Cluster::start(3, Some(platform.address));
+    cluster.primary();
+    let mut agents = Agents::connect("zone-0", (0..3).map(|index| cluster.link_address(index)));
+    agents.wait_for("the servers", |sync_node| server_state(sync_node, "i-1") == Some(ServerState::Ready));
+    let moved = Platform::start(&["i-1 draining", "i-2 ready"]);
+    cluster.set_platform(moved.address);
+    (cluster, agents, moved)
+}
+
+fn wait_for_moved_list(agents: &mut Agents) {
+    agents.wait_for("a new server", |sync_node| server_state(sync_node, "i-2") == Some(ServerState::Ready));
+    agents.wait_for("a server that drains", |sync_node| {
+        server_state(sync_node, "i-1") == Some(ServerState::Draining)
+    });
+}
+
+/// Guards against a list that has moved and is never read again.
+#[test]
+fn a_moved_list_is_read_at_its_new_address_after_a_signal() {
+    let (cluster, mut agents, _platform) = with_moved_list();
+    (0..3).for_each(|index| cluster.signal(index, "-HUP"));
+    wait_for_moved_list(&mut agents);
+}
+
+#[test]
+fn a_moved_list_is_read_at_its_new_address_without_a_signal() {
+    let (_cluster, mut agents, _platform) = with_moved_list();
+    wait_for_moved_list(&mut agents);
+}
+
+/// Guards against settings that are lost while their file is being written, or is invalid.
+#[test]
+fn settings_that_are_not_complete_leave_the_list_where_it_is() {
+    let platform = Platform::start(&["i-1 ready"]);
+    let mut cluster = Cluster::start(1, Some(platform.address));
+    cluster.primary();
+    let mut agents = Agents::connect("zone-0", (0..1).map(|index| cluster.link_address(index)));
+    agents.wait_for("the servers", |sync_node| server_state(sync_node, "i-1") == Some(ServerState::Ready));
+    for (end, server) in [("[Cloud]", "i-2"), ("RatePerS", "i-3"), ("Listen]", "i-4"), ("NodeName", "i-5")] {
+        cluster.truncate_settings(0, end);
+        cluster.signal(0, "-HUP");
+        platform.set(&[&format!("{server} ready")]);
+        agents.wait_for("a new server", |node| server_state(node, server) == Some(ServerState::Ready));
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -124,6 +124,33 @@
         })
     }
 
+    /// Returns the keys whose values differ in `other`.
+    pub fn changed_keys(&self, other: &Settings) -> Vec<&'static str> {
+        let keys = [
+            ("NodeName", self.node_name == other.node_name),
+            ("Role", self.role == other.role),
+            ("MachineClass", self.machine_class == other.machine_class),
+            ("Serves", self.serves == other.serves),
+            ("Ip", self.ip == other.ip),
+            ("Zone", self.zone == other.zone),
+            ("Region", self.region == other.region),
+            ("PortRange", self.ports == other.ports),
+            ("Seeds", self.seeds == other.seeds),
+            ("Bootstrap", self.bootstrap == other.bootstrap),
+            ("CountsForQuorum", self.counts_for_quorum == other.counts_for_quorum),
+            ("DataDir", self.data_folder == other.data_folder),
+            ("HeartbeatMs", self.heartbeat == other.heartbeat),
+            ("Contracts", self.contracts == other.contracts),
+            ("Zones", self.zones == other.zones),
+            ("Listen", self.listen == other.listen),
+            ("Limits", self.limits == other.limits),
+            ("FaultTolerance", self.fault_tolerance == other.fault_tolerance),
+            ("Bounds", self.bounds == other.bounds),
+            ("Cloud", self.platform == other.platform),
+        ];
+        keys.into_iter().filter(|(_, is_same)| !is_same).map(|(key, _)| key).collect()
+    }
+
     /// Returns the port on which control nodes accept connections from each other and from agents.
     pub fn control_port(&self) -> u16 {
         self.ports.first
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -222,3 +222,12 @@
         true
     }
 }
+
+#[test]
+fn changed_keys_are_named() {
+    let text = format!("{MINIMAL_SETTINGS}Seeds = [\"10.0.0.2:80\"]\n");
+    let changed = format!("{text}HeartbeatMs = 5\n[Cloud]\nAddress = \"10.0.0.9:1\"\n");
+    assert_eq!(parse(&text).changed_keys(&parse(&text)), Vec::<&str>::new());
+    let keys = parse(&text).changed_keys(&parse(&changed.replace("10.0.0.2", "10.0.0.3")));
+    assert_eq!(keys, ["Seeds", "HeartbeatMs", "Cloud"]);
+}
