--- a/crates/load-balancer/src/balancer/server.rs
+++ b/crates/load-balancer/src/balancer/server.rs
@@ -90,6 +90,22 @@
     }
 }
 
+/// When the warm-up of a server ends. The list trails reality, so its entries end no warm-up that was observed
+/// otherwise, though they may tell of a longer one.
+#[derive(Clone, Copy, Debug, Default)]
+struct Warmup {
+    /// The end by the latest entry of the list.
+    listed_until: Duration,
+    /// The end by what the server has reported or is assumed to have undergone.
+    observed_until: Duration,
+}
+
+impl Warmup {
+    fn end(self) -> Duration {
+        self.listed_until.max(self.observed_until)
+    }
+}
+
 /// A listed server and its state.
 pub(crate) struct Server {
     pub(crate) info: ServerInfo,
@@ -99,8 +115,7 @@
     entry: protocol::Server,
     listing: ListingState,
     pub(crate) is_evacuated: bool,
-    /// When the warm-up ends.
-    warming_until: Duration,
+    warmup: Warmup,
     /// Until when the server gets no requests because it has rejected one as full.
     full_until: Duration,
     /// Whether this proxy may send requests to the server while it is cold.
@@ -121,7 +136,7 @@
             entry: entry.clone(),
             listing: ListingState::Ready,
             is_evacuated: false,
-            warming_until: Duration::ZERO,
+            warmup: Warmup::default(),
             full_until: Duration::ZERO,
             is_slow_start_sender: false,
             recent_sends: RecentSends::default(),
@@ -154,18 +169,18 @@
     fn apply_entry(&mut self, now: Duration, entry: &protocol::Server) {
         let is_draining = entry.state == protocol::ServerState::Draining || entry.has_time_remaining;
         self.listing = self.listing.next(ListingEvent::Listed { is_draining });
-        self.set_warmup_remaining(now, Duration::from_millis(u64::from(entry.warmup_remaining_ms)));
+        self.warmup.listed_until = now + Duration::from_millis(u64::from(entry.warmup_remaining_ms));
     }
 
-    /// Sets the remaining warm-up time.
+    /// Sets the remaining warm-up time that the server itself reports. The list trails, so its latest entry is older.
     pub(crate) fn set_warmup_remaining(&mut self, now: Duration, remaining: Duration) {
-        self.warming_until = now + remaining;
+        self.warmup = Warmup { listed_until: now, observed_until: now + remaining };
     }
 
     /// Treats the server as cold for at least the time `remaining`, because it may have become cold
     /// unnoticed.
     pub(crate) fn assume_warming(&mut self, now: Duration, remaining: Duration) {
-        self.warming_until = self.warming_until.max(now + remaining);
+        self.warmup.observed_until = self.warmup.observed_until.max(now + remaining);
     }
 
     pub(crate) fn set_misdirected(&mut self) {
@@ -190,7 +205,7 @@
     }
 
     pub(crate) fn is_warming(&self, now: Duration) -> bool {
-        now < self.warming_until
+        now < self.warmup.end()
     }
 
     pub(crate) fn reports_full(&self, now: Duration) -> bool {
--- a/crates/load-balancer/tests/slow_start.rs
+++ b/crates/load-balancer/tests/slow_start.rs
@@ -119,6 +119,39 @@
     assert_eq!(max_in_a_second(&sent), WARMUP_LIMIT / 4);
 }
 
+/// Guards against entries of the list that trail the end of an evacuation, and end the slow start of cold servers.
+#[test]
+fn an_older_entry_of_the_list_does_not_end_an_assumed_slow_start() {
+    let mut balancer = lone_balancer();
+    let server = put(&mut balancer, &cold("s", "a1"));
+    balancer.set_evacuated(NOW, &BTreeSet::from(["a1".to_owned()]));
+    balancer.set_evacuated(NOW, &BTreeSet::new());
+    let trailing = balancer.put_server(NOW + ms(200), &engine("s", "a1"));
+    assert_eq!(trailing, Some(server));
+    let sent = sends_to(&mut balancer, server, NOW + ms(200), WARMUP - ms(200));
+    assert_eq!(max_in_a_second(&sent), WARMUP_LIMIT / 4);
+    assert_eq!(sends_to(&mut balancer, server, NOW + WARMUP + ms(1_000), ms(100)).len(), 100);
+}
+
+/// Guards against entries of the list that trail what a server has told of its warm-up.
+#[test]
+fn an_older_entry_of_the_list_does_not_end_a_reported_slow_start() {
+    let mut balancer = lone_balancer();
+    let server = put(&mut balancer, &cold("s", "a1"));
+    balancer.set_warmup_remaining(NOW, server, WARMUP);
+    balancer.put_server(NOW + ms(200), &engine("s", "a1"));
+    let sent = sends_to(&mut balancer, server, NOW + ms(200), WARMUP - ms(200));
+    assert_eq!(max_in_a_second(&sent), WARMUP_LIMIT / 4);
+}
+
+#[test]
+fn a_server_that_reports_the_end_of_its_warm_up_is_warm() {
+    let mut balancer = lone_balancer();
+    let server = put(&mut balancer, &cold("s", "a1"));
+    balancer.set_warmup_remaining(NOW + ms(500), server, ms(0));
+    assert_eq!(sends_to(&mut balancer, server, NOW + ms(500), ms(100)).len(), 100);
+}
+
 #[test]
 fn a_service_without_warm_up_has_no_slow_start() {
     let mut balancer = lone_balancer();
