--- a/crates/control-state/tests/published.rs
+++ b/crates/control-state/tests/published.rs
@@ -74,6 +74,7 @@
         (CONFIG_KEY.to_string(), PublishedKey::Config),
         (route_key("h", "/a/"), PublishedKey::Route("h//a/")),
         (evacuated_key("a/b"), PublishedKey::Evacuated("a/b")),
+        (restored_key("a/b"), PublishedKey::Restored("a/b")),
         (server_key("i-1"), PublishedKey::Server("i-1")),
         (endpoint_key("front-1"), PublishedKey::ProxyEndpoint("front-1")),
         (control_node_key(address), PublishedKey::ControlNode(address)),
--- a/crates/load-balancer/src/balancer/listing.rs
+++ b/crates/load-balancer/src/balancer/listing.rs
@@ -21,7 +21,11 @@
                 self.servers[key].update(now, info, distance, entry);
                 key
             }
-            None => self.insert_server(Server::new(now, info, distance, entry)),
+            None => {
+                let key = self.insert_server(Server::new(now, info, distance, entry));
+                self.assume_cold_if_restored(now, key);
+                key
+            }
         };
         self.services.entry(entry.service.clone()).or_default().servers.push(key);
         self.servers[key].is_evacuated = self.evacuated_zones.contains(&entry.zone);
@@ -51,6 +55,24 @@
         }
     }
 
+    /// Sets the zones whose evacuation has ended recently. Their servers count as cold for the warm-up time of their
+    /// service, as the list may not show yet that they are.
+    pub fn set_restored(&mut self, now: Duration, zones: BTreeSet<String>) {
+        self.restored_zones = zones;
+        let keys: Vec<ServerKey> = self.servers.keys().collect();
+        keys.into_iter().for_each(|key| self.assume_cold_if_restored(now, key));
+    }
+
+    fn assume_cold_if_restored(&mut self, now: Duration, key: ServerKey) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        if !self.restored_zones.contains(&server.info.locality.zone) {
+            return;
+        }
+        if let Some(service) = self.services.get(&server.info.service) {
+            server.assume_warming(now, service.settings.warmup);
+        }
+    }
+
     /// Returns the information of an entry; `None` if its address is invalid.
     fn server_info(&self, entry: &protocol::Server) -> Option<ServerInfo> {
         let region = self.zones.get(&entry.zone).cloned().unwrap_or_default();
--- a/crates/load-balancer/src/balancer/mod.rs
+++ b/crates/load-balancer/src/balancer/mod.rs
@@ -54,6 +54,8 @@
     by_id: HashMap<String, ServerKey>,
     services: HashMap<String, ServiceState>,
     evacuated_zones: BTreeSet<String>,
+    /// The zones whose evacuation has ended recently.
+    restored_zones: BTreeSet<String>,
     proxies: Vec<ProxyPeer>,
     requests: SlotMap<RequestKey, InFlight>,
     prefix_cache: PrefixCacheIndex,
@@ -71,6 +73,7 @@
             by_id: HashMap::new(),
             services: HashMap::new(),
             evacuated_zones: BTreeSet::new(),
+            restored_zones: BTreeSet::new(),
             proxies: Vec::new(),
             requests: SlotMap::with_key(),
             prefix_cache: PrefixCacheIndex::default(),
--- a/crates/load-balancer/tests/slow_start.rs
+++ b/crates/load-balancer/tests/slow_start.rs
@@ -133,6 +133,25 @@
     assert_eq!(sends_to(&mut balancer, server, NOW + WARMUP + ms(1_000), ms(100)).len(), 100);
 }
 
+/// Guards against proxies that start after an evacuation has ended, and take the zone's cold servers for warm.
+#[test]
+fn servers_of_a_zone_that_was_restored_recently_are_assumed_cold() {
+    for is_listed_before in [true, false] {
+        let mut balancer = lone_balancer();
+        let zones = BTreeSet::from(["a1".to_owned()]);
+        if !is_listed_before {
+            balancer.set_restored(NOW, zones.clone());
+        }
+        let server = put(&mut balancer, &engine("s", "a1"));
+        if is_listed_before {
+            balancer.set_restored(NOW, zones);
+        }
+        balancer.set_restored(NOW + ms(500), BTreeSet::new());
+        let sent = sends_to(&mut balancer, server, NOW, WARMUP);
+        assert_eq!(max_in_a_second(&sent), WARMUP_LIMIT / 4, "listed before: {is_listed_before}");
+    }
+}
+
 /// Guards against entries of the list that trail what a server has told of its warm-up.
 #[test]
 fn an_older_entry_of_the_list_does_not_end_a_reported_slow_start() {
--- a/crates/quillpulley/src/control/distribution/leader_publisher.rs
+++ b/crates/quillpulley/src/control/distribution/leader_publisher.rs
@@ -1,6 +1,6 @@
 //! Publishing by the primary, which is the root of the relay tree while it holds the lease.
 
-use super::published_state::{control_node_changes, state_changes, PublishedState};
+use super::published_state::{control_node_changes, PublishedState};
 use super::relay_node::RelayNode;
 use crate::control::discovery::page::Reading;
 use crate::control::replica_host::links::Links;
@@ -37,13 +37,19 @@
 }
 
 /// Publishes state while this process is the leader, that is, the primary with a valid lease.
-#[derive(Default)]
 pub struct LeaderPublisher {
+    /// The maximum time by which the platform's list is out of date.
+    max_list_lag: Duration,
     term: Option<Term>,
     pending: PendingChanges,
 }
 
 impl LeaderPublisher {
+    /// Creates a publisher that is not the leader. The platform's list is out of date by `max_list_lag` at most.
+    pub fn new(max_list_lag: Duration) -> Self {
+        LeaderPublisher { max_list_lag, term: None, pending: PendingChanges::default() }
+    }
+
     /// Returns whether this process is the leader.
     pub fn is_leader(&self) -> bool {
         self.term.is_some()
@@ -98,7 +104,7 @@
     fn begin_term(&mut self, now: Duration, epoch: u64, previous_term: Option<Term>, relay: &mut RelayNode) {
         let published = match previous_term {
             Some(previous_term) => previous_term.published,
-            None => PublishedState::inherit(now, relay.store()),
+            None => PublishedState::inherit(now, self.max_list_lag, relay.store()),
         };
         self.term = Some(Term { epoch, published, published_at: now });
         self.pending = PendingChanges { state: true, control_nodes: true };
@@ -130,7 +136,7 @@
         let Some(term) = &mut self.term else { return Vec::new() };
         let mut changes = Vec::new();
         if std::mem::take(&mut self.pending.state) {
-            changes.extend(state_changes(relay.store(), state));
+            changes.extend(term.published.update_state(now, relay.store(), state));
         }
         if std::mem::take(&mut self.pending.control_nodes) {
             changes.extend(control_node_changes(relay.store(), links.known_control_nodes()));
--- a/crates/quillpulley/src/control/distribution/mod.rs
+++ b/crates/quillpulley/src/control/distribution/mod.rs
@@ -6,3 +6,4 @@
 pub mod leader_publisher;
 pub mod published_state;
 pub mod relay_node;
+pub mod restored_zones;
--- a/crates/quillpulley/src/control/distribution/published_state.rs
+++ b/crates/quillpulley/src/control/distribution/published_state.rs
@@ -1,6 +1,7 @@
 //! The items that the root of the relay tree has published, and the changes that bring them up to date.
 
 use super::endpoint_registry::EndpointRegistry;
+use super::restored_zones::RestoredZones;
 use crate::control::discovery::page::Reading;
 use crate::control::discovery::published_servers::PublishedServers;
 use quillpulley_control_state::{published_items, ControlState};
@@ -11,18 +12,32 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-/// The servers and proxy endpoints that this process has published as the root.
-#[derive(Default)]
+/// Maximum time in which a change of the platform's list is read and published.
+const READING_TIME: Duration = Duration::from_secs(1);
+
+/// What this process has published as the root, apart from the control state.
 pub struct PublishedState {
     servers: PublishedServers,
     endpoints: EndpointRegistry,
+    restored_zones: RestoredZones,
 }
 
 impl PublishedState {
-    /// Takes over what the previous root has published.
-    pub fn inherit(now: Duration, store: &Store) -> Self {
-        let servers = PublishedServers::inherit(store.iter());
-        PublishedState { servers, endpoints: EndpointRegistry::inherit(now, store.iter()) }
+    /// Takes over what the previous root has published. The platform's list is out of date by `max_lag` at most.
+    pub fn inherit(now: Duration, max_lag: Duration, store: &Store) -> Self {
+        let keys = store.iter().map(|(key, _)| key);
+        PublishedState {
+            servers: PublishedServers::inherit(store.iter()),
+            endpoints: EndpointRegistry::inherit(now, store.iter()),
+            restored_zones: RestoredZones::inherit(now, max_lag + READING_TIME, keys),
+        }
+    }
+
+    /// Returns the changes that bring `store` up to date with the committed configuration and evacuations.
+    pub fn update_state(&mut self, now: Duration, store: &Store, state: &ControlState) -> Vec<Change> {
+        let mut changes = state_changes(store, state);
+        changes.extend(self.restored_zones.follow(now, &changes));
+        changes
     }
 
     /// Returns the number of published servers.
@@ -42,7 +57,9 @@
 
     /// Returns the changes to publish merely because time has passed.
     pub fn tick(&mut self, now: Duration) -> Vec<Change> {
-        self.endpoints.tick(now)
+        let mut changes = self.endpoints.tick(now);
+        changes.extend(self.restored_zones.tick(now));
+        changes
     }
 }
 
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -49,6 +49,7 @@
         let Components { clock, me, peers, replica, storage, fetcher, directory } = components;
         let now = clock.now();
         let node = ControlNode { ip: me.ip, zone: settings.zone.clone(), region: settings.region.clone() };
+        let max_list_lag = settings.platform.as_ref().map_or(Duration::ZERO, |platform| platform.max_lag);
         let mut host = ControlHost {
             links: Links::new(node, peers),
             relay: RelayNode::new(clock.clone(), &settings.node_name, settings.limits.link_mbps),
@@ -61,7 +62,7 @@
             storage,
             directory,
             commands: CommandQueue::new(Responder::caller_has_gone),
-            publisher: LeaderPublisher::default(),
+            publisher: LeaderPublisher::new(max_list_lag),
         };
         host.learn_control_nodes(now);
         host.reconcile();
--- a/crates/quillpulley/src/proxy/config/updates.rs
+++ b/crates/quillpulley/src/proxy/config/updates.rs
@@ -7,10 +7,11 @@
     decode_value, ConfigHead, ConfigHeadRef, Locality, ProxyEndpoint, ProxyEndpointRef, Server, ServerRef,
 };
 use quillpulley_serving_config::published::{
-    PublishedKey, CONFIG_KEY, ENDPOINT_PREFIX, EVACUATED_PREFIX, ROUTE_PREFIX,
+    PublishedKey, CONFIG_KEY, ENDPOINT_PREFIX, EVACUATED_PREFIX, RESTORED_PREFIX, ROUTE_PREFIX,
 };
 use quillpulley_serving_config::{Configuration, ConfigurationError};
 use quillpulley_state_sync::{ChangedKey, Store};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// The kinds of items to read from the store again, because at least one item of that kind has changed.
@@ -18,6 +19,7 @@
 struct Affected {
     configuration: bool,
     evacuations: bool,
+    restorations: bool,
     endpoints: bool,
 }
 
@@ -28,6 +30,7 @@
         match PublishedKey::parse(&change.key) {
             Some(PublishedKey::Config | PublishedKey::Route(_)) => affected.configuration = true,
             Some(PublishedKey::Evacuated(_)) => affected.evacuations = true,
+            Some(PublishedKey::Restored(_)) => affected.restorations = true,
             Some(PublishedKey::ProxyEndpoint(_)) => affected.endpoints = true,
             Some(PublishedKey::Server(id)) => apply_server(state, id, change.new.as_deref()),
             Some(PublishedKey::ControlNode(_)) | None => {}
@@ -37,14 +40,22 @@
         apply_configuration(state, store);
     }
     if affected.evacuations {
-        let zones = store.with_prefix(EVACUATED_PREFIX);
-        state.set_evacuated(&zones.map(|(key, _)| key[EVACUATED_PREFIX.len()..].to_string()).collect());
+        state.set_evacuated(&zones(store, EVACUATED_PREFIX));
+    }
+    // A configuration may bring services whose warm-up was not known before.
+    if affected.restorations || affected.configuration {
+        state.upstreams.set_restored(zones(store, RESTORED_PREFIX));
     }
     if affected.endpoints {
         state.set_proxies(proxies(store));
     }
 }
 
+/// Returns the zones that are published with `prefix`.
+fn zones(store: &Store, prefix: &str) -> BTreeSet<String> {
+    store.with_prefix(prefix).map(|(key, _)| key[prefix.len()..].to_string()).collect()
+}
+
 fn apply_server(state: &Rc<ProxyState>, id: &str, value: Option<&[u8]>) {
     match value.map(decode_value::<ServerRef<'_>, Server>) {
         Some(Ok(server)) => state.put_server(&server),
--- a/crates/quillpulley/src/proxy/upstream/upstreams.rs
+++ b/crates/quillpulley/src/proxy/upstream/upstreams.rs
@@ -191,6 +191,11 @@
         self.balancer.borrow_mut().set_evacuated(self.now(), zones);
     }
 
+    /// Sets the zones whose evacuation has ended recently, and whose servers may be cold.
+    pub fn set_restored(&self, zones: BTreeSet<String>) {
+        self.balancer.borrow_mut().set_restored(self.now(), zones);
+    }
+
     /// Adds a server of the published list, or updates its entry.
     pub fn put_server(&self, server: &Server) -> PutServerOutcome {
         let key = self.balancer.borrow_mut().put_server(self.now(), server);
--- a/crates/quillpulley/tests/control/publisher.rs
+++ b/crates/quillpulley/tests/control/publisher.rs
@@ -1,10 +1,11 @@
 //! Tests of the items that the root of the relay tree publishes for the control state and the control nodes.
 
 use quillpulley::control::distribution::published_state::{control_node_changes, state_changes};
+use quillpulley::control::distribution::restored_zones::RestoredZones;
 use quillpulley_control_state::{ControlState, EvacuationDecision};
 use quillpulley_protocol::{ControlNode, Entry};
 use quillpulley_replication::StateMachine;
-use quillpulley_serving_config::published::{control_node_key, evacuated_key, server_key};
+use quillpulley_serving_config::published::{control_node_key, evacuated_key, restored_key, server_key};
 use quillpulley_state_sync::{Change, Event, Options, Store, SyncNode};
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -68,3 +69,40 @@
         changes.into_iter().map(|change| (change.key, change.value.is_some())).collect();
     assert_eq!(keys, [(key(1), false), (key(2), true)]);
 }
+
+/// Time for which a restored zone is published.
+const PUBLISHED_FOR: Duration = Duration::from_millis(1_800);
+
+fn removal(key: &str) -> Change {
+    Change { key: key.to_string(), value: None }
+}
+
+/// Guards against proxies that start when an evacuation has just ended, and do not learn of it.
+#[test]
+fn a_restored_zone_is_published_until_the_list_shows_its_cold_servers() {
+    let ms = Duration::from_millis;
+    let mut zones = RestoredZones::inherit(ms(0), PUBLISHED_FOR, std::iter::empty());
+    assert!(zones
+        .follow(ms(0), &[set(&evacuated_key("a"), Vec::new()), set("route/x", Vec::new())])
+        .is_empty());
+    let restored = zones.follow(ms(100), &[removal(&evacuated_key("a")), removal("route/x")]);
+    assert_eq!(restored, [set(&restored_key("a"), Vec::new())]);
+    assert!(zones.tick(ms(1_899)).is_empty());
+    assert_eq!(zones.tick(ms(1_900)), [removal(&restored_key("a"))]);
+    assert!(zones.tick(ms(5_000)).is_empty());
+
+    zones.follow(ms(6_000), &[removal(&evacuated_key("a"))]);
+    let evacuated_again = zones.follow(ms(6_100), &[set(&evacuated_key("a"), Vec::new())]);
+    assert_eq!(evacuated_again, [removal(&restored_key("a"))]);
+    assert!(zones.tick(ms(9_000)).is_empty());
+}
+
+/// Guards against restored zones that a new primary does not know of, or publishes for good.
+#[test]
+fn a_new_root_takes_over_the_restored_zones() {
+    let keys = [restored_key("a"), evacuated_key("b")];
+    let now = Duration::from_secs(5);
+    let mut zones = RestoredZones::inherit(now, PUBLISHED_FOR, keys.iter().map(String::as_str));
+    assert!(zones.tick(now + PUBLISHED_FOR - Duration::from_millis(1)).is_empty());
+    assert_eq!(zones.tick(now + PUBLISHED_FOR), [removal(&restored_key("a"))]);
+}
--- a/crates/quillpulley/tests/control/tree.rs
+++ b/crates/quillpulley/tests/control/tree.rs
@@ -6,7 +6,7 @@
 use crate::configuration;
 use quillpulley_protocol::{decode_value, ConfigHead, ConfigHeadRef, Server, ServerRef, ServerState};
 use quillpulley_serving_config::published::{
-    control_node_key, endpoint_key, evacuated_key, server_key, CONFIG_KEY,
+    control_node_key, endpoint_key, evacuated_key, restored_key, server_key, CONFIG_KEY,
 };
 use quillpulley_state_sync::SyncNode;
 use std::net::SocketAddr;
@@ -82,6 +82,14 @@
     });
     agents.wait_for("the removal of a server", |sync_node| server_state(sync_node, "i-3").is_none());
     agents.wait_for("an evacuation", |sync_node| sync_node.store().get(&evacuated_key("zone-0")).is_some());
+    assert_eq!(cluster.call_until_definite(&Operation::end_evacuation("zone-0")).status, 200);
+    agents.wait_for("a restored zone", |sync_node| {
+        sync_node.store().get(&restored_key("zone-0")).is_some()
+            && sync_node.store().get(&evacuated_key("zone-0")).is_none()
+    });
+    agents.wait_for("the end of its slow start", |sync_node| {
+        sync_node.store().get(&restored_key("zone-0")).is_none()
+    });
 
     // After the primary was killed, the next one takes over what it has published.
     agents.keep_only((primary + 1) % 3);
--- a/crates/serving-config/src/published/key.rs
+++ b/crates/serving-config/src/published/key.rs
@@ -8,6 +8,8 @@
 pub const ROUTE_PREFIX: &str = "route/";
 /// The prefix of the keys of evacuated zones.
 pub const EVACUATED_PREFIX: &str = "evacuated/";
+/// The prefix of the keys of zones whose evacuation has ended recently.
+pub const RESTORED_PREFIX: &str = "restored/";
 const SERVER_PREFIX: &str = "server/";
 /// The prefix of the keys of proxies.
 pub const ENDPOINT_PREFIX: &str = "front/";
@@ -23,6 +25,8 @@
     Route(&'a str),
     /// An evacuated zone, by its name. The value is empty.
     Evacuated(&'a str),
+    /// A zone whose evacuation has ended recently, by its name. The value is empty.
+    Restored(&'a str),
     /// A server, by its id. The value is a `Server` of the protocol.
     Server(&'a str),
     /// A proxy, by the name of its machine. The value is a `ProxyEndpoint` of the protocol.
@@ -41,6 +45,7 @@
         match kind {
             ROUTE_PREFIX => Some(PublishedKey::Route(name)),
             EVACUATED_PREFIX => Some(PublishedKey::Evacuated(name)),
+            RESTORED_PREFIX => Some(PublishedKey::Restored(name)),
             SERVER_PREFIX => Some(PublishedKey::Server(name)),
             ENDPOINT_PREFIX => Some(PublishedKey::ProxyEndpoint(name)),
             CONTROL_NODE_PREFIX => Some(PublishedKey::ControlNode(name.parse().ok()?)),
@@ -61,6 +66,11 @@
     format!("{EVACUATED_PREFIX}{zone}")
 }
 
+/// Returns the key of a zone whose evacuation has ended recently.
+pub fn restored_key(zone: &str) -> String {
+    format!("{RESTORED_PREFIX}{zone}")
+}
+
 /// Returns the key of a server.
 pub fn server_key(id: &str) -> String {
     format!("{SERVER_PREFIX}{id}")
--- a/crates/serving-config/src/published/mod.rs
+++ b/crates/serving-config/src/published/mod.rs
@@ -8,6 +8,6 @@
 
 pub use items::route_of;
 pub use key::{
-    control_node_key, endpoint_key, evacuated_key, route_key, server_key, PublishedKey, CONFIG_KEY,
-    CONTROL_NODE_PREFIX, ENDPOINT_PREFIX, EVACUATED_PREFIX, ROUTE_PREFIX,
+    control_node_key, endpoint_key, evacuated_key, restored_key, route_key, server_key, PublishedKey,
+    CONFIG_KEY, CONTROL_NODE_PREFIX, ENDPOINT_PREFIX, EVACUATED_PREFIX, RESTORED_PREFIX, ROUTE_PREFIX,
 };
