--- a/crates/quillpulley/src/proxy/downstream/client_service.rs
+++ b/crates/quillpulley/src/proxy/downstream/client_service.rs
@@ -149,7 +149,7 @@
         let decision = config.decide(host, head.target.path()).ok_or_else(|| self.no_route_response())?;
         state.home_demand.count(state.now(), config, host, &decision.home_regions);
         let deadline = head.deadline(arrived, decision.timeout);
-        if !state.lifecycle.accepts(state.since_start(arrived), state.since_start(deadline)) {
+        if !state.lifecycle.accepts(state.since_start(deadline)) {
             return Err(LocalResponse::unavailable(DRAINING_RETRY_AFTER));
         }
         Ok(RoutedHead { head, decision, deadline })
--- a/crates/quillpulley/src/proxy/process.rs
+++ b/crates/quillpulley/src/proxy/process.rs
@@ -172,7 +172,7 @@
         log::info!(open_requests = state.open_requests.len(); "SIGTERM received, draining");
         state.lifecycle.begin_drain(now, deadline);
         self.urgent_report.notify_one();
-        sleep_until(state.instant_at(deadline.accepts_all_until())).await;
+        sleep_until(state.instant_at(deadline.closes_idle_at())).await;
         self.clients.set_draining();
         if timeout_at(state.instant_at(deadline.response_cutoff()), self.clients.all_closed()).await.is_ok() {
             return;
--- a/crates/quillpulley/src/proxy/shutdown/proxy_lifecycle.rs
+++ b/crates/quillpulley/src/proxy/shutdown/proxy_lifecycle.rs
@@ -44,10 +44,10 @@
         self.lifecycle.get().endpoint_state(now)
     }
 
-    /// Returns whether to accept a request whose head arrived at `arrived`, and which ends by
-    /// `response_deadline`. All requests are accepted unless the proxy drains.
-    pub fn accepts(&self, arrived: Duration, response_deadline: Duration) -> bool {
-        self.drain_deadline.get().is_none_or(|deadline| deadline.accepts(arrived, response_deadline))
+    /// Returns whether to accept a request which ends by `response_deadline`. All requests are accepted unless the
+    /// proxy drains.
+    pub fn accepts(&self, response_deadline: Duration) -> bool {
+        self.drain_deadline.get().is_none_or(|deadline| deadline.accepts(response_deadline))
     }
 
     /// Ends all requests that have no response yet: the proxy itself responds to them, because the process is
