--- a/crates/quillpulley/tests/proxy/main.rs
+++ b/crates/quillpulley/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod preferred_regions;
 mod process_lifecycle;
+mod restored_zones;
 mod retries;
 mod routing;
 mod slow_readers;
--- a/crates/quillpulley/tests/proxy/support/agent.rs
+++ b/crates/quillpulley/tests/proxy/support/agent.rs
@@ -4,7 +4,7 @@
 use quillpulley_protocol::{
     encode_value, Body, EndpointState, Hello, NodeId, PeerKind, ProxyEndpoint, Server,
 };
-use quillpulley_serving_config::published::server_key;
+use quillpulley_serving_config::published::{restored_key, server_key};
 use quillpulley_serving_config::Configuration;
 use quillpulley_state_sync::{Action, Change, Event, Options, SyncNode};
 use std::cell::{Cell, RefCell};
@@ -87,6 +87,12 @@
         self.shared.handle(Event::Publish(vec![Change { key: server_key(&server.id), value }]));
     }
 
+    /// Publishes that the evacuation of a zone has ended recently.
+    pub fn publish_restored(&self, zone: &str) {
+        let change = Change { key: restored_key(zone), value: Some(Vec::new()) };
+        self.shared.handle(Event::Publish(vec![change]));
+    }
+
     pub fn remove_server(&self, id: &str) {
         self.shared.handle(Event::Publish(vec![Change { key: server_key(id), value: None }]));
     }
