--- a/crates/quillpulley/src/agent/host/tree.rs
+++ b/crates/quillpulley/src/agent/host/tree.rs
@@ -13,12 +13,15 @@
 impl Host {
     pub(super) fn handle_sync(&mut self, event: state_sync::Event<LinkId>) {
         let before = self.node.revision();
+        let was_answered = self.node.is_subscription_answered();
         let mut actions = Vec::new();
         self.node.handle(self.now(), event, &mut actions);
         actions.into_iter().for_each(|action| self.perform_sync(action));
         if self.node.revision() != before {
             self.handle_parent_search(parent_search::Event::RevisionAdvanced);
             self.log_parent();
+        } else if !was_answered && self.node.is_subscription_answered() {
+            self.handle_parent_search(parent_search::Event::NothingNewer);
         }
     }
 
--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -60,6 +60,8 @@
     Lost(ParentCandidate),
     /// The revision of the published state has advanced.
     RevisionAdvanced,
+    /// The parent has answered the subscription, and has no newer revision.
+    NothingNewer,
     /// A timer may be due. Must be sent at [`ParentSearch::next_tick`], or shortly afterwards.
     Tick,
 }
@@ -151,6 +153,7 @@
             Event::Opened(candidate) => self.link_opened(now, candidate, actions),
             Event::Lost(candidate) => self.link_lost(now, candidate, actions),
             Event::RevisionAdvanced => self.revision_advanced(now, actions),
+            Event::NothingNewer => self.nothing_newer(now),
             Event::Tick => {}
         }
         self.advance(now, actions);
@@ -304,12 +307,39 @@
         }
     }
 
+    /// Gives up a control node that has no newer revision, if the revision has stalled: the control node has waited for
+    /// as long itself. Once every control node has failed, each has its whole time again, as there may be no primary.
+    fn nothing_newer(&mut self, now: Duration) {
+        let Some(ParentCandidate::ControlNode(_)) = self.parent() else { return };
+        let is_stalled = now >= self.revision_advanced_at + CONTROL_NODE_TIMEOUT;
+        if matches!(self.state, SearchState::Attached { .. })
+            && is_stalled
+            && self.has_untried_control_node(now)
+        {
+            let next_connect = now + self.jitter(MIN_BACKOFF);
+            self.give_up_parent(now, next_connect);
+        }
+    }
+
+    fn has_untried_control_node(&self, now: Duration) -> bool {
+        let mut control_nodes =
+            self.candidates.iter().filter(|candidate| matches!(candidate, ParentCandidate::ControlNode(_)));
+        control_nodes.any(|candidate| {
+            !self.is_in_use(*candidate) && self.penalties.remaining(now, *candidate).is_zero()
+        })
+    }
+
+    /// Searches for another parent because the revision has stalled. The parent is kept until another one is connected.
+    fn give_up_parent(&mut self, now: Duration, next_connect: Duration) {
+        let stalled = self.parent();
+        stalled.into_iter().for_each(|parent| self.penalties.add(now, parent));
+        self.start_search(now, next_connect, ParentChangeReason::Stalled);
+    }
+
     /// Handles the timers that are due.
     fn advance(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if matches!(self.state, SearchState::Attached { .. }) && now >= self.deadline() {
-            let stalled = self.parent.map(|parent| parent.candidate);
-            stalled.into_iter().for_each(|parent| self.penalties.add(now, parent));
-            self.start_search(now, now, ParentChangeReason::Stalled);
+            self.give_up_parent(now, now);
         }
         match self.state {
             SearchState::Searching { since, next_connect } if now >= next_connect => {
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -32,6 +32,7 @@
         "opened" => Event::Opened(candidate(rest)),
         "lost" => Event::Lost(candidate(rest)),
         "advanced" => Event::RevisionAdvanced,
+        "nothing-newer" => Event::NothingNewer,
         _ => panic!("unknown event {verb}"),
     }
 }
@@ -417,6 +418,66 @@
     );
 }
 
+/// Guards against configurations that are late because control nodes which get no updates themselves each have a whole
+/// stall timeout.
+#[test]
+fn a_control_node_with_nothing_newer_is_given_up_at_once_if_the_revision_has_stalled() {
+    run_timeline(
+        "
+            0 | candidates C1 C2 C3 | connect C1
+           10 | opened C1           | use C1
+          100 | advanced            |
+         1310 |                     | connect C2
+         1320 | opened C2           | use C2, close C1
+         1330 | nothing-newer       |
+         1380 |                     | connect C3
+         1390 | opened C3           | use C3, close C2
+         1400 | advanced            |
+        ",
+    );
+}
+
+/// Guards against a tree that never comes to rest: a parent that is up to date has nothing newer until the next revision.
+#[test]
+fn a_control_node_with_nothing_newer_is_kept_while_the_revision_has_not_stalled() {
+    run_timeline(
+        "
+            0 | candidates C1 C2    | connect C1
+           10 | opened C1           | use C1
+          900 | advanced            |
+          950 | lost C1             |
+         1000 |                     | connect C2
+         1010 | opened C2           | use C2
+         1020 | candidates C2 C3    |
+         1030 | nothing-newer       |
+         1100 |                     |
+         1200 | advanced            |
+        ",
+    );
+}
+
+/// Guards against searches that open many connections a second while there is no primary.
+#[test]
+fn control_nodes_with_nothing_newer_have_their_whole_time_once_all_have_failed() {
+    run_timeline(
+        "
+            0 | candidates C1 C2 | connect C1
+           10 | opened C1        | use C1
+          100 | advanced         |
+         1310 |                  | connect C2
+         1320 | opened C2        | use C2, close C1
+         1330 | nothing-newer    |
+         1600 |                  |
+         2300 |                  |
+         2530 |                  | connect C1
+         2540 | opened C1        | use C1, close C2
+         2550 | nothing-newer    |
+         3500 |                  |
+         3750 |                  | connect C2
+        ",
+    );
+}
+
 #[test]
 fn an_agent_that_becomes_the_parent_late_has_some_time() {
     run_timeline(
@@ -497,12 +558,13 @@
         for (wait, event_number, target) in steps {
             now += Duration::from_millis(u64::from(wait) * 10);
             let target = candidate(names[usize::from(target) % names.len()]);
-            let event = match event_number % 6 {
+            let event = match event_number % 7 {
                 0 => Event::Candidates(names.iter().map(|name| candidate(name)).collect()),
                 1 => Event::Candidates(vec![candidate("C3"), candidate("A1")]),
                 2 if connecting.contains(&target) => Event::Opened(target),
                 3 if connecting.contains(&target) || open.contains(&target) => Event::Lost(target),
                 4 => Event::RevisionAdvanced,
+                5 => Event::NothingNewer,
                 _ => Event::Tick,
             };
             if matches!(event, Event::Opened(_)) {
--- a/crates/quillpulley/tests/relay_tree/hosts/agent.rs
+++ b/crates/quillpulley/tests/relay_tree/hosts/agent.rs
@@ -139,6 +139,7 @@
 
     fn handle_sync(&mut self, context: &mut Context, event: state_sync::Event<LinkId>) {
         let before = self.node.revision();
+        let was_answered = self.node.is_subscription_answered();
         let mut actions = Vec::new();
         self.node.handle(context.now, event, &mut actions);
         for action in actions {
@@ -146,6 +147,8 @@
         }
         if self.node.revision() != before {
             self.handle_search(context, parent_search::Event::RevisionAdvanced);
+        } else if !was_answered && self.node.is_subscription_answered() {
+            self.handle_search(context, parent_search::Event::NothingNewer);
         }
     }
 
--- a/crates/quillpulley/tests/relay_tree/main.rs
+++ b/crates/quillpulley/tests/relay_tree/main.rs
@@ -217,6 +217,42 @@
     check(with_clients(1), 8_000, "0 | configure every 700\n 0 | churn 27\n 1000 | restart b#1-2");
 }
 
+/// Guards against children that wait for control nodes one after the other which can be reached but get no updates.
+#[test]
+fn the_state_stays_current_if_the_first_agent_of_a_zone_freezes_beside_two_stale_control_nodes() {
+    check(
+        parameters(1),
+        15_000,
+        "0 | configure every 700
+         100 | part control 2 + control 3 from control 1 for 14000
+         7000 | freeze b#1 for 6000",
+    );
+}
+
+/// Guards against such children if the agents that they try first are lost as well.
+#[test]
+fn the_state_stays_current_if_the_first_agents_of_two_zones_freeze_beside_two_stale_control_nodes() {
+    check(
+        parameters(1),
+        15_000,
+        "0 | configure every 700
+         100 | part control 2 + control 3 from control 1 for 14000
+         7000 | freeze b#1-3 for 6000
+         9000 | freeze a#1-3 for 5000",
+    );
+}
+
+/// Guards against stale control nodes beside sequences of faults that nobody has thought of.
+#[test]
+fn the_state_stays_current_with_random_faults_beside_stale_control_nodes() {
+    let first = environment("RELAY_TREE_SEED", 1);
+    for seed in first..first + environment("RELAY_TREE_SEEDS", 1) {
+        let timeline = random::timeline_with_stale_control_nodes(seed);
+        println!("seed {seed}\n{timeline}");
+        check(parameters(seed), 18_000, &timeline);
+    }
+}
+
 /// Guards against sequences of faults that nobody has thought of.
 #[test]
 fn the_state_stays_current_with_random_faults() {
--- a/crates/quillpulley/tests/relay_tree/random.rs
+++ b/crates/quillpulley/tests/relay_tree/random.rs
@@ -20,6 +20,17 @@
     text
 }
 
+/// Returns the timeline of a seed, in which one or two control nodes get no updates from the root for some time.
+pub fn timeline_with_stale_control_nodes(seed: u64) -> String {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut text = timeline(seed);
+    let first = random.u64(2..=5);
+    let second = random.u64(2..=5);
+    let (at, duration) = (random.u64(0..3_000), random.u64(4_000..16_000));
+    let _ = writeln!(text, "{at} | part control {first} + control {second} from control 1 for {duration}");
+    text
+}
+
 fn fault(random: &mut fastrand::Rng) -> String {
     let duration = random.u64(100..6_000);
     let machines = machines(random);
--- a/crates/quillpulley/tests/relay_tree/timeline.rs
+++ b/crates/quillpulley/tests/relay_tree/timeline.rs
@@ -8,6 +8,7 @@
 //! | `power MACHINES for MS` | takes the power: the machines say nothing |
 //! | `freeze MACHINES for MS` | stops the processes: they accept connections and say nothing |
 //! | `cut MACHINES for MS` | cuts the network between these machines and all others |
+//! | `part MACHINES from MACHINES for MS` | cuts the network between the two groups; all others reach both |
 //! | `restart MACHINES` | sends SIGTERM, and starts the processes again a second after they have ended |
 //! | `roll MACHINES every MS` | restarts the machines one after the other at this interval |
 //!
@@ -27,6 +28,7 @@
     Configure { every_ms: u64 },
     Churn { servers: usize },
     Fault { kind: FaultKind, machines: Vec<Selector>, for_ms: u64 },
+    Part { machines: Vec<Selector>, from: Vec<Selector>, for_ms: u64 },
     Restart { machines: Vec<Selector> },
     Roll { machines: Vec<Selector>, every_ms: u64 },
 }
@@ -71,6 +73,11 @@
         "power" => fault(FaultKind::Power),
         "freeze" => fault(FaultKind::Freeze),
         "cut" => fault(FaultKind::Cut),
+        "part" => {
+            let (machines, rest) = split(" from ");
+            let (from, duration) = rest.split_once(" for ").unwrap_or_else(|| panic!("no 'for': {line}"));
+            Command::Part { machines: selectors(machines), from: selectors(from), for_ms: number(duration) }
+        }
         "restart" => Command::Restart { machines: selectors(rest) },
         "roll" => {
             let (machines, interval) = split(" every ");
--- a/crates/quillpulley/tests/relay_tree/world/connections.rs
+++ b/crates/quillpulley/tests/relay_tree/world/connections.rs
@@ -18,6 +18,9 @@
 /// The network.
 impl World {
     pub(super) fn is_reachable(&self, from: usize, to: usize) -> bool {
+        if self.parted.contains(&(from, to)) {
+            return false;
+        }
         let (from, to) = (&self.machines[from], &self.machines[to]);
         from.has_power && to.has_power && from.network == to.network
     }
--- a/crates/quillpulley/tests/relay_tree/world/faults.rs
+++ b/crates/quillpulley/tests/relay_tree/world/faults.rs
@@ -15,6 +15,11 @@
                 self.begin_fault(kind, &machines);
                 self.schedule(for_ms * 1_000, Event::EndFault { kind, machines });
             }
+            Command::Part { machines, from, for_ms } => {
+                let pairs = self.pairs(&machines, &from);
+                self.parted.extend(&pairs);
+                self.schedule(for_ms * 1_000, Event::EndPart { pairs });
+            }
             Command::Restart { machines } => {
                 for machine in self.select(&machines) {
                     self.restart(machine);
@@ -42,6 +47,14 @@
         machines
     }
 
+    /// Returns the pairs of machines of two groups, in both directions.
+    fn pairs(&mut self, machines: &[Selector], others: &[Selector]) -> Vec<(usize, usize)> {
+        let machines: Vec<usize> = machines.iter().flat_map(|selector| self.matching(selector)).collect();
+        let others: Vec<usize> = others.iter().flat_map(|selector| self.matching(selector)).collect();
+        let pairs = machines.iter().flat_map(|one| others.iter().map(move |other| (*one, *other)));
+        pairs.flat_map(|(one, other)| [(one, other), (other, one)]).collect()
+    }
+
     pub(super) fn matching(&mut self, selector: &Selector) -> Vec<usize> {
         let all = 0..self.places.len();
         let places = &self.places;
--- a/crates/quillpulley/tests/relay_tree/world/mod.rs
+++ b/crates/quillpulley/tests/relay_tree/world/mod.rs
@@ -12,7 +12,7 @@
 use crate::topology::{places, AgentCounts, Place, ROOT};
 use quillpulley_protocol::{Body, FrameEncoder};
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 
 /// The interval at which the ages are checked.
@@ -96,6 +96,7 @@
     Run { process: usize },
     Command(Command),
     EndFault { kind: FaultKind, machines: Vec<usize> },
+    EndPart { pairs: Vec<(usize, usize)> },
     StartMachine { machine: usize },
     Configure { every_us: u64 },
     Churn { servers: usize },
@@ -146,6 +147,8 @@
     items: PublishedItems,
     random: fastrand::Rng,
     next_network: usize,
+    /// The pairs of machines that do not reach each other although they are in the same network.
+    parted: BTreeSet<(usize, usize)>,
 }
 
 impl World {
@@ -167,6 +170,7 @@
             items: PublishedItems::new(parameters.seed),
             random: fastrand::Rng::with_seed(parameters.seed),
             next_network: 1,
+            parted: BTreeSet::new(),
             parameters,
             places,
         };
@@ -268,6 +272,7 @@
             Event::Run { process } => self.run(process),
             Event::Command(command) => self.command(command),
             Event::EndFault { kind, machines } => self.end_fault(kind, &machines),
+            Event::EndPart { pairs } => self.parted.retain(|pair| !pairs.contains(pair)),
             Event::StartMachine { machine } => self.start_machine(machine),
             Event::Configure { every_us } => self.configure(every_us),
             Event::Churn { servers } => {
--- a/crates/state-sync/src/node.rs
+++ b/crates/state-sync/src/node.rs
@@ -198,6 +198,11 @@
         self.subscription_timer.progress(now)
     }
 
+    /// Returns whether the present parent has answered the subscription.
+    pub fn is_subscription_answered(&self) -> bool {
+        self.subscription_timer.is_answered()
+    }
+
     /// Returns the number of children whose subscription has no response yet.
     pub fn waiting_children(&self) -> usize {
         self.children.values().filter(|child| child.subscription().is_some()).count()
--- a/crates/state-sync/src/subscription_progress.rs
+++ b/crates/state-sync/src/subscription_progress.rs
@@ -59,6 +59,10 @@
         }
     }
 
+    pub(crate) fn is_answered(&self) -> bool {
+        matches!(self, SubscriptionTimer::Answered { .. })
+    }
+
     /// Records that the parent was changed or lost.
     pub(crate) fn reset(&mut self) {
         *self = SubscriptionTimer::Idle;
