--- a/crates/load-balancer/src/balancer/listing.rs
+++ b/crates/load-balancer/src/balancer/listing.rs
@@ -5,7 +5,7 @@
 use super::{Balancer, ServerKey};
 use quillpulley_protocol as protocol;
 use quillpulley_protocol::Locality;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 impl Balancer {
@@ -55,6 +55,17 @@
         }
     }
 
+    /// Sets the region of each zone, also for the servers that are known.
+    pub fn set_zones(&mut self, zones: &BTreeMap<String, String>) {
+        self.zones.clone_from(zones);
+        for server in self.servers.values_mut() {
+            let locality = &mut server.info.locality;
+            locality.region = self.zones.get(&locality.zone).cloned().unwrap_or_default();
+            server.distance = Distance::between(&self.locality, locality);
+        }
+        self.update_slow_start_senders();
+    }
+
     /// Sets the zones whose evacuation has ended recently. Their servers count as cold for the warm-up time of their
     /// service, as the list may not show yet that they are.
     pub fn set_restored(&mut self, now: Duration, zones: BTreeSet<String>) {
--- a/crates/load-balancer/src/balancer/mod.rs
+++ b/crates/load-balancer/src/balancer/mod.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Sets [`Options::warmup_overshoot`] and [`Options::warmup_slack`]. They apply from the next call of
+    /// [`Balancer::set_services`] on.
+    pub fn set_slow_start_limit(&mut self, overshoot: f64, slack: f64) {
+        self.options.warmup_overshoot = overshoot;
+        self.options.warmup_slack = slack;
+    }
+
     /// Sets the services of the active configuration.
     pub fn set_services<'a>(&mut self, services: impl IntoIterator<Item = &'a Service>) {
         self.services.values_mut().for_each(|service| service.settings = ServiceSettings::default());
--- a/crates/load-balancer/tests/eligibility.rs
+++ b/crates/load-balancer/tests/eligibility.rs
@@ -64,6 +64,23 @@
     assert_eq!(chosen(&mut balancer, &demand(PLAIN)), None);
 }
 
+/// Guards against servers of a zone that was added to the settings, and that are in no region until the next start.
+#[test]
+fn a_server_of_a_zone_whose_region_becomes_known_is_chosen_for_that_region() {
+    let mut balancer = lone_balancer();
+    let key = put(&mut balancer, &plain("s", "d1"));
+    let home_regions = ["d".to_owned()];
+    let bound = Demand { home_regions: &home_regions, ..demand(PLAIN) };
+    assert_eq!(chosen(&mut balancer, &bound), None);
+    let mut zones = zones();
+    zones.insert("d1".to_owned(), "d".to_owned());
+    balancer.set_zones(&zones);
+    assert_eq!(chosen(&mut balancer, &bound), Some(key));
+    zones.insert("d1".to_owned(), "c".to_owned());
+    balancer.set_zones(&zones);
+    assert_eq!(chosen(&mut balancer, &bound), None);
+}
+
 #[test]
 fn a_misdirected_server_gets_no_requests_until_its_entry_changes() {
     let mut balancer = lone_balancer();
--- a/crates/load-balancer/tests/slow_start.rs
+++ b/crates/load-balancer/tests/slow_start.rs
@@ -47,6 +47,16 @@
     sent.iter().map(in_window).max().unwrap_or(0)
 }
 
+#[test]
+fn a_changed_limit_applies_once_the_services_are_set() {
+    let mut balancer = lone_balancer();
+    let server = put(&mut balancer, &cold("s", "a1"));
+    balancer.set_slow_start_limit(3.0, 10.0);
+    balancer.set_services(configuration().services.values());
+    let sent = sends_to(&mut balancer, server, NOW, ms(2_900));
+    assert_eq!(max_in_a_second(&sent), (11 * 3 + 10) / 4);
+}
+
 #[test]
 fn one_proxy_sends_a_quarter_of_the_limit_evenly_spread() {
     let mut balancer = lone_balancer();
--- a/crates/quillpulley/src/agent/drain.rs
+++ b/crates/quillpulley/src/agent/drain.rs
@@ -55,6 +55,11 @@
         AgentDrain { state: DrainState::Serving, grace, without_proxy_since: Some(Duration::ZERO) }
     }
 
+    /// Sets the time between SIGTERM and SIGKILL.
+    pub fn set_grace(&mut self, grace: Duration) {
+        self.grace = grace;
+    }
+
     /// Begins the drain. Has no effect if it has already begun.
     pub fn begin(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if self.state == DrainState::Serving {
--- a/crates/quillpulley/src/agent/host/mod.rs
+++ b/crates/quillpulley/src/agent/host/mod.rs
@@ -11,9 +11,10 @@
 use crate::agent::parent_links::ParentLinks;
 use crate::agent::parent_search::{self, ParentSearch};
 use crate::agent::peer_directory::PeerDirectory;
-use crate::agent::{AgentSockets, LoadSettings};
+use crate::agent::AgentSockets;
 use crate::lag::LagMonitor;
 use crate::peer::{LinkId, PeerEvent, PeerOptions, Peers};
+use crate::settings_watch::{LoadSettings, Section, SettingsWatch};
 use crate::signals::ProcessSignal;
 use crate::Settings;
 use log::{info, warn};
@@ -28,9 +29,10 @@
 
 /// Timers are rounded up to the next multiple of this interval, so that one wake-up can handle several of them.
 const TIMER_GRANULARITY: Duration = Duration::from_millis(25);
-/// How often the settings are reloaded while the agent has no parent, because the list of seeds may change without a
-/// SIGHUP.
-const SEED_RELOAD_INTERVAL: Duration = Duration::from_secs(3);
+/// The sections of the settings that a running agent applies.
+const APPLIED_SECTIONS: [Section; 2] = [Section::Seeds, Section::Bounds];
+/// How often the settings file is read without a SIGHUP.
+const SETTINGS_READ_INTERVAL: Duration = Duration::from_secs(3);
 /// The maximum number of incoming links: enough for the children in the relay tree, and for some more that are changing
 /// their parent.
 const MAX_CHILDREN: usize = 128;
@@ -38,7 +40,7 @@
 /// The event loop of an agent, with its state machines and sockets.
 pub struct Host {
     started_at: Instant,
-    settings: Settings,
+    settings: SettingsWatch,
     load_settings: LoadSettings,
     peers: Rc<Peers>,
     events: UnboundedReceiver<PeerEvent>,
@@ -59,7 +61,6 @@
     logged_parent: Option<ParentCandidate>,
     /// Follows the age of the published state, for the log.
     staleness: LagMonitor,
-    seeds_read_at: Duration,
 }
 
 impl Host {
@@ -90,8 +91,7 @@
             failed_candidates: Vec::new(),
             logged_parent: None,
             staleness: LagMonitor::default(),
-            seeds_read_at: Duration::ZERO,
-            settings,
+            settings: SettingsWatch::new(Duration::ZERO, settings, &APPLIED_SECTIONS, SETTINGS_READ_INTERVAL),
             load_settings,
         }
     }
@@ -124,7 +124,7 @@
             self.parent_search.next_tick(),
             self.drain.next_tick(),
             self.staleness.next_report(),
-            self.now() + SEED_RELOAD_INTERVAL,
+            self.settings.next_reading(),
         ];
         let due = due.into_iter().min().unwrap_or_default().max(self.now());
         let steps = due.as_millis() / TIMER_GRANULARITY.as_millis() + 1;
@@ -145,7 +145,7 @@
             self.handle_parent_search(parent_search::Event::Tick);
         }
         self.report_staleness();
-        self.reload_seeds_if_due();
+        self.reload_settings_if_due();
         self.update_drain();
     }
 
@@ -182,27 +182,28 @@
                 self.drain.begin(self.now(), &mut actions);
                 actions.into_iter().for_each(|action| self.perform_drain(action));
             }
-            ProcessSignal::Reload => self.reload_seeds(),
+            ProcessSignal::Reload => self.reload_settings(),
         }
     }
 
-    fn reload_seeds_if_due(&mut self) {
+    fn reload_settings_if_due(&mut self) {
         let now = self.now();
-        let Some(since) = self.parent_search.searching_since() else { return };
-        if now >= self.seeds_read_at.max(since) + SEED_RELOAD_INTERVAL {
-            warn!(seconds = (now - since).as_secs(); "no parent found that sends current published state; reloading the seeds");
-            self.reload_seeds();
+        if now < self.settings.next_reading() {
+            return;
         }
+        let searching_for = self.parent_search.searching_since().map(|since| now.saturating_sub(since));
+        if let Some(time) = searching_for.filter(|time| *time >= SETTINGS_READ_INTERVAL) {
+            warn!(seconds = time.as_secs(); "no parent found that sends current published state; reloading the seeds");
+        }
+        self.reload_settings();
     }
 
-    fn reload_seeds(&mut self) {
-        self.seeds_read_at = self.now();
-        match (self.load_settings)() {
-            Ok(settings) => {
-                self.peer_directory.set_seeds(&settings);
-                self.directory_changed = true;
-            }
-            Err(error) => warn!(error:% = error; "cannot reload the settings; keeping the current ones"),
+    fn reload_settings(&mut self) {
+        let now = self.now();
+        if self.settings.update(now, (self.load_settings)()) {
+            self.peer_directory.set_seeds(self.settings.settings());
+            self.directory_changed = true;
+            self.drain.set_grace(self.settings.settings().bounds.grace);
         }
     }
 
--- a/crates/quillpulley/src/agent/host/tree.rs
+++ b/crates/quillpulley/src/agent/host/tree.rs
@@ -69,8 +69,10 @@
 
     pub(super) fn address(&self, candidate: ParentCandidate) -> SocketAddr {
         match candidate {
-            ParentCandidate::ControlNode(ip) => SocketAddr::from((ip, self.settings.control_port())),
-            ParentCandidate::Agent(ip) => SocketAddr::from((ip, self.settings.agent_port())),
+            ParentCandidate::ControlNode(ip) => {
+                SocketAddr::from((ip, self.settings.settings().control_port()))
+            }
+            ParentCandidate::Agent(ip) => SocketAddr::from((ip, self.settings.settings().agent_port())),
         }
     }
 
@@ -98,10 +100,10 @@
         }
         if std::mem::take(&mut self.directory_changed) {
             self.peer_directory.read(self.node.store());
-            let peers = self.peer_directory.peers(self.settings.agent_port());
+            let peers = self.peer_directory.peers(self.settings.settings().agent_port());
             self.handle_membership(membership::Event::Peers(peers));
         }
-        let candidates = self.peer_directory.candidates(&self.settings, &failed_candidates);
+        let candidates = self.peer_directory.candidates(self.settings.settings(), &failed_candidates);
         self.failed_candidates = failed_candidates;
         self.handle_parent_search(parent_search::Event::Candidates(candidates));
     }
--- a/crates/quillpulley/src/agent/mod.rs
+++ b/crates/quillpulley/src/agent/mod.rs
@@ -25,17 +25,14 @@
 pub mod peer_directory;
 
 use crate::peer::{bind_datagrams, bind_links};
+use crate::settings_watch::LoadSettings;
 use crate::signals::{self, ProcessSignal};
 use crate::{runtime, HostError, Settings};
 use host::Host;
-use quillpulley_settings::SettingsError;
 use std::net::{Ipv4Addr, SocketAddr};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc::UnboundedReceiver;
 
-/// A function that reloads the settings.
-pub type LoadSettings = Box<dyn Fn() -> Result<Settings, SettingsError>>;
-
 /// The bound sockets of an agent.
 pub struct AgentSockets {
     /// Accepts connections from child agents.
--- a/crates/quillpulley/src/command_line/help.rs
+++ b/crates/quillpulley/src/command_line/help.rs
@@ -32,7 +32,8 @@
   --log LEVEL   log what is at least so important: off, error, warn, info (default), debug, trace
   -h, --help    print this text
 
-On SIGTERM it finishes what it has read, for GraceS at most.
+On SIGTERM it finishes what it has read, for GraceS at most. It takes Zones and Bounds of the settings when they
+change, on SIGHUP at once.
 ";
 
 /// The help text of `quillpulley agent`.
@@ -46,8 +47,8 @@
   --log LEVEL   log what is at least so important: off, error, warn, info (default), debug, trace
   -h, --help    print this text
 
-On SIGTERM it ends once its proxy has ended, or a second before GraceS is over. On SIGHUP it reads the settings
-again.
+On SIGTERM it ends once its proxy has ended, or a second before GraceS is over. It takes Seeds and Bounds of the
+settings when they change, on SIGHUP at once.
 ";
 
 /// The help text of `quillpulley control`.
@@ -61,8 +62,8 @@
   --log LEVEL   log what is at least so important: off, error, warn, info (default), debug, trace
   -h, --help    print this text
 
-On SIGTERM a primary hands over, and the process ends within half a second. On SIGHUP it reads Seeds in the
-settings again.
+On SIGTERM a primary hands over, and the process ends within half a second. It takes Seeds and Cloud of the
+settings when they change, on SIGHUP at once.
 ";
 
 /// The help text of `quillpulley check`.
--- a/crates/quillpulley/src/control/distribution/leader_publisher.rs
+++ b/crates/quillpulley/src/control/distribution/leader_publisher.rs
@@ -50,6 +50,11 @@
         LeaderPublisher { max_list_lag, term: None, pending: PendingChanges::default() }
     }
 
+    /// Sets the maximum time by which the platform's list is out of date, from the next term on.
+    pub fn set_max_list_lag(&mut self, max_list_lag: Duration) {
+        self.max_list_lag = max_list_lag;
+    }
+
     /// Returns whether this process is the leader.
     pub fn is_leader(&self) -> bool {
         self.term.is_some()
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -5,7 +5,6 @@
 
 use super::components::Components;
 use super::links::{LinkEvent, Links};
-use super::settings_watch::SettingsWatch;
 use super::status;
 use super::status_snapshot::StatusSnapshot;
 use super::storage_thread::{StorageThread, WriteCompletion};
@@ -19,13 +18,21 @@
 use crate::control::distribution::relay_node::{Child, RelayNode};
 use crate::control::response::TimedResponse;
 use crate::peer::PeerEvent;
+use crate::settings_watch::{Section, SettingsWatch};
 use crate::Settings;
 use quillpulley_control_state::ControlState;
 use quillpulley_protocol::{ControlNode, NodeId};
 use quillpulley_replication::{Action, Event, Replica, Role};
+use quillpulley_settings::Platform;
 use quillpulley_state_sync as state_sync;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The sections of the settings that a running control node applies.
+const APPLIED_SECTIONS: [Section; 2] = [Section::Seeds, Section::Cloud];
+/// Interval at which the settings file is read without a signal.
+const SETTINGS_READ_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The part of a control node that runs on the main thread and owns the whole state of the node.
 pub struct ControlHost {
     clock: Clock,
@@ -49,12 +56,12 @@
         let Components { clock, me, peers, replica, storage, fetcher, directory } = components;
         let now = clock.now();
         let node = ControlNode { ip: me.ip, zone: settings.zone.clone(), region: settings.region.clone() };
-        let max_list_lag = settings.platform.as_ref().map_or(Duration::ZERO, |platform| platform.max_lag);
+        let max_list_lag = max_list_lag(settings.platform.as_ref());
         let mut host = ControlHost {
             links: Links::new(node, peers),
             relay: RelayNode::new(clock.clone(), &settings.node_name, settings.limits.link_mbps),
             discovery: ServiceDiscovery::new(fetcher, settings.platform.as_ref()),
-            settings: SettingsWatch::new(now, settings),
+            settings: SettingsWatch::new(now, settings, &APPLIED_SECTIONS, SETTINGS_READ_INTERVAL),
             known_jumps: clock.jumps(),
             clock,
             me,
@@ -162,8 +169,7 @@
         self.discovery.tick(now, self.publisher.is_leader());
         self.relay.tick_directory(now);
         self.forget_control_nodes(now);
-        let is_isolated = self.replica.view().is_none() && self.links.has_no_connection();
-        if self.settings.is_reload_due(now, is_isolated) {
+        if now >= self.settings.next_reading() {
             self.reload_settings();
         }
         self.reconcile();
@@ -200,14 +206,20 @@
     pub fn reload_settings(&mut self) {
         let now = self.clock.now();
         if self.settings.update(now, Settings::from_environment()) {
-            self.discovery.set_platform(now, self.settings.settings().platform.as_ref());
+            let platform = self.settings.settings().platform.as_ref();
+            self.discovery.set_platform(now, platform);
+            self.publisher.set_max_list_lag(max_list_lag(platform));
         }
         self.learn_control_nodes(now);
         self.reconcile();
     }
 
     fn learn_control_nodes(&mut self, now: Duration) {
-        self.links.learn(now, self.settings.seeds());
+        let seeds = self.settings.settings().seeds.iter().filter_map(|seed| match seed {
+            SocketAddr::V4(seed) => Some(*seed.ip()),
+            SocketAddr::V6(_) => None,
+        });
+        self.links.learn(now, seeds);
         self.links.learn(now, self.replica.known_nodes().iter().map(NodeId::address));
     }
 
@@ -328,3 +340,8 @@
         }
     }
 }
+
+/// Returns the maximum time by which the platform's list is out of date.
+fn max_list_lag(platform: Option<&Platform>) -> Duration {
+    platform.map_or(Duration::ZERO, |platform| platform.max_lag)
+}
--- a/crates/quillpulley/src/control/replica_host/links.rs
+++ b/crates/quillpulley/src/control/replica_host/links.rs
@@ -158,11 +158,6 @@
         self.can_send_to(node) && self.table.can_receive_from(node)
     }
 
-    /// Returns whether no control node is reachable.
-    pub fn has_no_connection(&self) -> bool {
-        self.table.connected().next().is_none()
-    }
-
     /// Returns the control nodes that agents should know: this one, and those that were reached and have not
     /// been forgotten since.
     pub fn known_control_nodes(&self) -> Vec<ControlNode> {
--- a/crates/quillpulley/src/control/replica_host/mod.rs
+++ b/crates/quillpulley/src/control/replica_host/mod.rs
@@ -6,7 +6,6 @@
 pub(crate) mod links;
 pub mod peer_table;
 pub mod process;
-mod settings_watch;
 mod status;
 mod status_snapshot;
 pub mod storage_thread;
--- a/crates/quillpulley/src/lib.rs
+++ b/crates/quillpulley/src/lib.rs
@@ -15,6 +15,7 @@
 mod request_body;
 pub mod runtime;
 mod settings;
+pub mod settings_watch;
 pub mod signals;
 
 pub use error::HostError;
--- a/crates/quillpulley/src/proxy/mod.rs
+++ b/crates/quillpulley/src/proxy/mod.rs
@@ -26,4 +26,4 @@
 pub mod upstream;
 
 pub use faults::{Experiment, Faults};
-pub use process::{run, serve, serve_experiment, Listeners};
+pub use process::{run, serve, Listeners};
--- a/crates/quillpulley/src/proxy/process.rs
+++ b/crates/quillpulley/src/proxy/process.rs
@@ -11,12 +11,14 @@
 use crate::proxy::upstream::connection_pool::ConnectionPool;
 use crate::proxy::upstream::health_check::check_servers;
 use crate::runtime::block_on;
+use crate::settings_watch::{LoadSettings, Section, SettingsWatch};
 use crate::signals::{self, ProcessSignal};
 use crate::{HostError, Settings};
 use quillpulley_http1::{ConnectionManager, ConnectionOptions, Linger};
 use quillpulley_load_balancer::{Ablation, Balancer, Locality, Options, QueueLimits};
 use quillpulley_retry_budget::{Options as BudgetOptions, RetryBudgets};
 use quillpulley_serving_config::Limits;
+use quillpulley_settings::Bounds;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -52,6 +54,12 @@
 /// Interval at which idle and slow connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The sections of the settings that a running proxy applies. Of `Bounds`, `BudgetWindowS` applies from the next start, as
+/// the counts of the budgets are kept by window.
+const APPLIED_SECTIONS: [Section; 2] = [Section::Zones, Section::Bounds];
+/// Interval at which the settings file is read without a signal.
+const SETTINGS_READ_INTERVAL: Duration = Duration::from_secs(3);
+
 /// The sockets that a proxy listens on.
 pub struct Listeners {
     /// The listener for client requests.
@@ -80,41 +88,36 @@
     block_on(async {
         let signals = signals::subscribe()?;
         let listeners = Listeners::bind(&settings).await?;
-        serve_experiment(settings, listeners, signals, experiment).await;
+        serve(settings, listeners, signals, Box::new(Settings::from_environment), experiment).await;
         Ok(())
     })
 }
 
-/// Serves clients until a shutdown signal is received and the proxy has drained. Must be called on a tokio
-/// `LocalSet`.
-pub async fn serve(settings: Settings, listeners: Listeners, signals: UnboundedReceiver<ProcessSignal>) {
-    serve_experiment(settings, listeners, signals, Experiment::default()).await;
-}
-
-/// Does the same as [`serve`], with injected faults or disabled mechanisms for tests and experiments.
-pub async fn serve_experiment(
+/// Serves clients until a shutdown signal is received and the proxy has drained, with injected faults or disabled mechanisms
+/// for tests and experiments. Must be called on a tokio `LocalSet`.
+pub async fn serve(
     settings: Settings,
     listeners: Listeners,
     mut signals: UnboundedReceiver<ProcessSignal>,
+    load_settings: LoadSettings,
     experiment: Experiment,
 ) {
     let proxy = Proxy::start(&settings, listeners, experiment);
-    while let Some(signal) = signals.recv().await {
-        match signal {
-            ProcessSignal::Reload => validate_settings_file(),
-            ProcessSignal::Shutdown => break,
+    let mut settings =
+        SettingsWatch::new(proxy.state.now(), settings, &APPLIED_SECTIONS, SETTINGS_READ_INTERVAL);
+    loop {
+        tokio::select! {
+            signal = signals.recv() => match signal {
+                Some(ProcessSignal::Reload) => {}
+                Some(ProcessSignal::Shutdown) | None => break,
+            },
+            () = sleep_until(proxy.state.instant_at(settings.next_reading())) => {}
+        }
+        if settings.update(proxy.state.now(), load_settings()) {
+            proxy.apply(settings.settings());
         }
     }
-    proxy.drain(&settings).await;
-}
-
-/// Validates the settings file after a reload signal. A running proxy keeps the settings that it started
-/// with.
-fn validate_settings_file() {
-    match Settings::from_environment() {
-        Ok(_) => log::info!("the settings file is valid; changes apply from the next start"),
-        Err(error) => log::error!(error:% = error; "the settings file is invalid; the next start will fail"),
-    }
+    proxy.drain(settings.settings()).await;
 }
 
 /// A running proxy.
@@ -163,6 +166,18 @@
         Proxy { state, clients, urgent_report }
     }
 
+    /// Applies settings that have changed.
+    fn apply(&self, settings: &Settings) {
+        let Bounds { warmup_overshoot, warmup_slack, retry_budget_ratio, retry_slack, .. } = settings.bounds;
+        self.state.upstreams.set_zones(&settings.zones);
+        self.state.upstreams.set_slow_start_limit(warmup_overshoot, warmup_slack);
+        if let Some(config) = self.state.config.get() {
+            self.state.upstreams.set_services(config.services());
+        }
+        self.state.retry_budgets.set_limit(retry_budget_ratio, retry_slack);
+        self.state.admission.admit_all();
+    }
+
     /// Publishes that the proxy drains, keeps serving requests that arrive meanwhile, and completes open
     /// requests.
     async fn drain(self, settings: &Settings) {
--- a/crates/quillpulley/src/proxy/retry/budgets.rs
+++ b/crates/quillpulley/src/proxy/retry/budgets.rs
@@ -14,6 +14,11 @@
         SharedRetryBudgets(RefCell::new(budgets))
     }
 
+    /// Sets the number of retries that are allowed per request, and of those that the whole system may send besides.
+    pub fn set_limit(&self, ratio: f64, slack: f64) {
+        self.0.borrow_mut().set_limit(ratio, slack);
+    }
+
     /// Counts a client's request to a service.
     pub fn record_request(&self, now: Duration, service: &str) {
         self.0.borrow_mut().record_request(now, service);
--- a/crates/quillpulley/src/proxy/upstream/upstreams.rs
+++ b/crates/quillpulley/src/proxy/upstream/upstreams.rs
@@ -13,7 +13,7 @@
 use quillpulley_protocol::{Server, ServerLoad, ServerState};
 use quillpulley_serving_config::Service;
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -191,6 +191,17 @@
         self.balancer.borrow_mut().set_evacuated(self.now(), zones);
     }
 
+    /// Sets the region of each zone.
+    pub fn set_zones(&self, zones: &BTreeMap<String, String>) {
+        self.balancer.borrow_mut().set_zones(zones);
+    }
+
+    /// Sets the factor and the addend in the limit on requests to a cold server. They apply once the services are set
+    /// again.
+    pub fn set_slow_start_limit(&self, overshoot: f64, slack: f64) {
+        self.balancer.borrow_mut().set_slow_start_limit(overshoot, slack);
+    }
+
     /// Sets the zones whose evacuation has ended recently, and whose servers may be cold.
     pub fn set_restored(&self, zones: BTreeSet<String>) {
         self.balancer.borrow_mut().set_restored(self.now(), zones);
--- a/crates/quillpulley/tests/proxy/process_lifecycle.rs
+++ b/crates/quillpulley/tests/proxy/process_lifecycle.rs
@@ -2,8 +2,9 @@
 
 use crate::support::client::request;
 use crate::support::{configuration, route, run, FakeServer, Proxy};
+use quillpulley::proxy::Faults;
 use quillpulley::signals::ProcessSignal;
-use quillpulley_protocol::EndpointState;
+use quillpulley_protocol::{EndpointState, Server};
 
 #[test]
 fn a_proxy_is_ready_once_a_configuration_is_active() {
@@ -114,6 +115,28 @@
     });
 }
 
+/// Guards against servers of a new zone that get no requests of bound routes until the proxy is restarted.
+#[test]
+fn a_zone_that_is_added_to_the_settings_applies_after_a_reload_signal() {
+    run(async {
+        let mut one = FakeServer::start("i-1", "one").await;
+        let bound = route("a", "idempotent", "\"HomeRegions\":[\"west\"]");
+        let servers = [Server { zone: "w".to_string(), ..one.entry() }];
+        let configuration = configuration(1, &[&bound]);
+        let proxy = Proxy::start_with_faults("", &configuration, &servers, Faults::default()).await;
+        let mut client = proxy.client().await;
+        let response = client.fetch(&request("GET /a/b", "id-1", "", "")).await;
+        assert_eq!(response.status(), 503, "the region of the server's zone is not known");
+
+        proxy.settings_file.borrow_mut().zones.insert("w".to_string(), "west".to_string());
+        proxy.signals.send(ProcessSignal::Reload).expect("the proxy runs");
+        let mut client = proxy.client().await;
+        client.send(&request("GET /a/b", "id-2", "", "")).await;
+        one.next_call().await.respond_ok("ok").await;
+        assert_eq!(client.read_response().await.text(), "ok");
+    });
+}
+
 #[test]
 fn a_draining_proxy_accepts_only_requests_that_are_sure_to_end_in_time() {
     run(async {
--- a/crates/quillpulley/tests/proxy/support/mod.rs
+++ b/crates/quillpulley/tests/proxy/support/mod.rs
@@ -9,13 +9,15 @@
 use agent::FakeAgent;
 pub use client::Client;
 pub use message::Message;
-use quillpulley::proxy::{serve_experiment, Faults, Listeners};
+use quillpulley::proxy::{serve, Faults, Listeners};
 use quillpulley::signals::ProcessSignal;
 use quillpulley::Settings;
 use quillpulley_protocol::Server;
 pub use server::{Call, FakeServer};
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
@@ -47,6 +49,8 @@
     pub signals: UnboundedSender<ProcessSignal>,
     /// The task of the proxy, which ends when the process would exit.
     pub process: JoinHandle<()>,
+    /// What the proxy reads from its settings file.
+    pub settings_file: Rc<RefCell<Settings>>,
 }
 
 impl Proxy {
@@ -92,8 +96,11 @@
         let client_address = listeners.clients.local_addr().expect("front");
         let readiness_address = listeners.readiness.local_addr().expect("ready");
         let (signals, receiver) = unbounded_channel();
-        let process = spawn_local(serve_experiment(settings, listeners, receiver, faults.into()));
-        Proxy { client_address, readiness_address, agent, signals, process }
+        let file = Rc::new(RefCell::new(settings.clone()));
+        let read = file.clone();
+        let load = Box::new(move || Ok(read.borrow().clone()));
+        let process = spawn_local(serve(settings, listeners, receiver, load, faults.into()));
+        Proxy { client_address, readiness_address, agent, signals, process, settings_file: file }
     }
 
     pub async fn client(&self) -> Client {
--- a/crates/retry-budget/src/budgets.rs
+++ b/crates/retry-budget/src/budgets.rs
@@ -57,6 +57,11 @@
         RetryBudgets { options, services: Vec::new(), max_proxies: 0 }
     }
 
+    /// Sets [`Options::ratio`] and [`Options::slack`].
+    pub fn set_limit(&mut self, ratio: f64, slack: f64) {
+        self.options = Options { ratio, slack, ..self.options };
+    }
+
     /// Counts a client's request to a service.
     pub fn record_request(&mut self, now: Duration, service: &str) {
         let budget = self.budget(now, service);
--- a/crates/retry-budget/tests/budgets.rs
+++ b/crates/retry-budget/tests/budgets.rs
@@ -84,6 +84,17 @@
     proxy.check("RrrrrRrrrrrRrrrrR");
 }
 
+#[test]
+fn a_changed_ratio_applies_from_the_next_totals_on() {
+    let mut proxy = Proxy::new(totals(1000, 0, 0), 4);
+    proxy.receive_totals();
+    proxy.run(&"f".repeat(90));
+    proxy.budgets.set_limit(0.4, OPTIONS.slack);
+    proxy.budgets.set_totals(proxy.now, &[], 0, false);
+    // 90 requests in the window allow 36 retries in 10 s.
+    proxy.check("RrRrrRrrRrrRrR");
+}
+
 #[test]
 fn retries_are_counted_before_they_are_sent() {
     let mut proxy = Proxy::new(totals(0, 0, 0), 4);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,7 +14,7 @@
 pub use sections::{Bounds, FaultTolerance, Listen, Platform, PortRange, ProcessLimits};
 
 use reader::Section;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -68,6 +68,8 @@
     pub bounds: Bounds,
     /// `Cloud`: the API of the platform that lists the servers; `None` if the table has no `Address`.
     pub platform: Option<Platform>,
+    /// The keys that the file has, each preceded by the name of its table, but for those of `Zones`.
+    keys: BTreeSet<String>,
 }
 
 impl Settings {
@@ -121,9 +123,19 @@
             fault_tolerance: FaultTolerance::read(&root.section("FaultTolerance")?)?,
             bounds: Bounds::read(&root.section("Bounds")?)?,
             platform: Platform::read(&root.section("Cloud")?)?,
+            keys: reader::keys(&table),
         })
     }
 
+    /// Returns whether this file has all keys that `other` has in a section: a key outside of tables, or a table. A file that
+    /// lacks some may not be written completely.
+    pub fn has_all_keys_of(&self, other: &Settings, section: &str) -> bool {
+        let is_in_section = |key: &&String| {
+            key.strip_prefix(section).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+        };
+        other.keys.iter().filter(is_in_section).all(|key| self.keys.contains(key))
+    }
+
     /// Returns the keys whose values differ in `other`.
     pub fn changed_keys(&self, other: &Settings) -> Vec<&'static str> {
         let keys = [
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -1,7 +1,7 @@
 //! Typed access to the values of a settings file. Errors name the key and the expected kind of value.
 
 use super::SettingsError;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use toml::{Table, Value};
@@ -158,6 +158,23 @@
     }
 }
 
+/// Returns the keys of a file that have a value, each preceded by the name of its table. `Zones` counts as one key, as its
+/// keys are values: the names of the zones.
+pub(super) fn keys(table: &Table) -> BTreeSet<String> {
+    let root = Section::root(table);
+    let mut keys = BTreeSet::new();
+    for (key, value) in table.iter().filter(|(key, _)| root.value(key).is_some()) {
+        match value {
+            Value::Table(section) if key == "Zones" && section.is_empty() => {}
+            Value::Table(section) if key != "Zones" => {
+                keys.extend(section.keys().map(|name| format!("{key}.{name}")));
+            }
+            _ => drop(keys.insert(key.clone())),
+        }
+    }
+    keys
+}
+
 /// Returns the error for a text that is not valid TOML.
 pub(super) fn not_toml(text: &str, error: &toml::de::Error) -> SettingsError {
     let start = error.span().map_or(0, |span| span.start);
