--- a/crates/quillpulley/tests/soak/client.rs
+++ b/crates/quillpulley/tests/soak/client.rs
@@ -17,14 +17,18 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum pause between two requests: less than four fifths of the lowest `IdleTimeoutMs`.
 const MAX_PAUSE_MS: u64 = 700;
-/// The longest time for which a client reads an answer.
-const MAX_READ_TIME: Duration = Duration::from_millis(3_000);
+/// The deadlines of requests, and the longest time for which a client reads the answer. The last one is nearly all of the
+/// time for which a process that got SIGTERM still runs.
+const DEADLINES: [(Duration, Duration); 3] = [
+    (Duration::from_millis(2_000), Duration::from_millis(800)),
+    (Duration::from_millis(5_000), Duration::from_millis(3_000)),
+    (Duration::from_millis(15_000), Duration::from_millis(6_500)),
+];
 /// Interval between the parts of an answer that a client reads.
 const READ_INTERVAL: Duration = Duration::from_millis(20);
-/// The length of long answers, in bytes: they do not fit into the buffers of the kernel.
-const LONG_ANSWER_BYTES: usize = 8_000_000;
+/// The lengths of long answers, in bytes: they do not fit into the buffers of the kernel.
+const LONG_ANSWER_BYTES: std::ops::Range<usize> = 8_000_000..14_000_000;
 const SHORT_ANSWER_BYTES: usize = 800;
-const DEADLINE: Duration = Duration::from_millis(5_000);
 
 /// A client of one proxy.
 pub struct Client {
@@ -41,6 +45,7 @@
     kind: Kind,
     bytes: usize,
     work_ms: u64,
+    deadline: Duration,
     /// The time that the client takes to read the answer.
     read_time: Duration,
 }
@@ -71,11 +76,11 @@
             let sent_at = self.started.elapsed();
             let Ok(()) = send(stream, &request) else { return };
             let sent = Instant::now();
-            let _ = stream.set_read_timeout(Some(DEADLINE));
+            let _ = stream.set_read_timeout(Some(request.deadline));
             let (end, keeps_open) = read_answer(&mut reader, &request);
             stays_open = keeps_open;
-            let Request { id, kind, .. } = request;
-            self.ended.push(Ended { id, kind, end, after: sent.elapsed(), deadline: DEADLINE, sent_at });
+            let Request { id, kind, deadline, .. } = request;
+            self.ended.push(Ended { id, kind, end, after: sent.elapsed(), deadline, sent_at });
             thread::sleep(Duration::from_millis(self.random.u64(0..MAX_PAUSE_MS)));
         }
     }
@@ -88,12 +93,12 @@
             _ => Kind::NonIdempotent,
         };
         let is_long = self.random.u32(0..3) == 0;
-        let bytes = if is_long { LONG_ANSWER_BYTES } else { SHORT_ANSWER_BYTES };
+        let bytes = if is_long { self.random.usize(LONG_ANSWER_BYTES) } else { SHORT_ANSWER_BYTES };
         // The time to read a stream follows from its events.
         let bytes = if kind == Kind::Streaming { bytes / 100 } else { bytes };
-        let read_time = MAX_READ_TIME.mul_f64(self.random.f64());
-        let read_time = if is_long { read_time } else { Duration::ZERO };
-        Request { id, kind, bytes, work_ms: self.random.u64(0..500), read_time }
+        let (deadline, max_read_time) = DEADLINES[self.random.usize(0..DEADLINES.len())];
+        let read_time = if is_long { max_read_time.mul_f64(self.random.f64()) } else { Duration::ZERO };
+        Request { id, kind, bytes, work_ms: self.random.u64(0..500), deadline, read_time }
     }
 }
 
@@ -109,7 +114,7 @@
         request.bytes,
         request.work_ms,
         request.id,
-        DEADLINE.as_millis()
+        request.deadline.as_millis()
     );
     stream.write_all(text.as_bytes())
 }
