--- a/crates/quillpulley/tests/catch_up/world.rs
+++ b/crates/quillpulley/tests/catch_up/world.rs
@@ -8,8 +8,8 @@
 use quillpulley_replication::{
     Action, Event, Faults, Options, RejectReason, Replica, RestoreError, Role, StateMachine, WriteFailed,
 };
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use quillpulley_simulation::EventQueue;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -83,7 +83,7 @@
     next_target: usize,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug)]
 enum ScheduledEvent {
     Arrive { from: usize, to: usize, connection: u64, bytes: Vec<u8> },
     Stored { machine: usize, incarnation: u64, ticket: u64, result: Result<(), ()> },
@@ -104,10 +104,8 @@
     pub now: u64,
     pub machines: Vec<Machine>,
     pipes: BTreeMap<(usize, usize), Pipe>,
-    /// The scheduled events by their times in microseconds, then by the order in which they were scheduled.
-    queue: BinaryHeap<Reverse<(u64, u64, ScheduledEvent)>>,
-    /// The number of events scheduled so far.
-    sequence: u64,
+    /// The scheduled events, with their times in microseconds.
+    queue: EventQueue<ScheduledEvent>,
     encoder: FrameEncoder,
     witnesses: Vec<NodeId>,
     faults: Faults,
@@ -150,8 +148,7 @@
             now: 0,
             machines: witnesses.iter().map(machine).collect(),
             pipes: BTreeMap::new(),
-            queue: BinaryHeap::new(),
-            sequence: 0,
+            queue: EventQueue::default(),
             encoder: FrameEncoder::default(),
             witnesses,
             faults: Faults::default(),
@@ -239,14 +236,10 @@
     pub fn run_until(&mut self, milliseconds: u64, holds: impl Fn(&World) -> bool) -> bool {
         let end = self.now + milliseconds * 1_000;
         while !holds(self) {
-            match self.queue.peek() {
-                Some(Reverse((at, ..))) if *at <= end => {}
-                _ => {
-                    self.now = end;
-                    return holds(self);
-                }
-            }
-            let Some(Reverse((at, _, scheduled))) = self.queue.pop() else { continue };
+            let Some((at, scheduled)) = self.queue.pop_until(end) else {
+                self.now = end;
+                return holds(self);
+            };
             self.now = at;
             self.dispatch(scheduled);
         }
@@ -401,8 +394,7 @@
     }
 
     fn schedule(&mut self, delay_us: u64, scheduled: ScheduledEvent) {
-        self.sequence += 1;
-        self.queue.push(Reverse((self.now + delay_us, self.sequence, scheduled)));
+        self.queue.push(self.now + delay_us, scheduled);
     }
 
     /// Sends a command of this many bytes to the primary. Returns whether there is a primary.
--- a/crates/quillpulley/tests/operators/world.rs
+++ b/crates/quillpulley/tests/operators/world.rs
@@ -10,8 +10,8 @@
 use quillpulley::control::response::Response;
 use quillpulley_protocol::{Body, NodeId};
 use quillpulley_replication::{Event, Locality, Write, WriteFailed};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use quillpulley_simulation::EventQueue;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -55,7 +55,7 @@
 
 /// A scheduled event. Events for a process that has ended are ignored, and so are messages to a replaced
 /// node.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug)]
 pub enum ScheduledEvent {
     Deliver { to: usize, id: NodeId, from: NodeId, body: Body },
     WriteDone { machine: usize, process: u64, ticket: u64 },
@@ -95,10 +95,7 @@
     connections: Vec<Connection>,
     /// The percentage of requests that are held up on their way.
     pub held_up_percent: u32,
-    /// The scheduled events by time, then by the order in which they were scheduled.
-    queue: BinaryHeap<Reverse<(u64, u64, ScheduledEvent)>>,
-    /// The number of events scheduled so far, which orders events of the same time.
-    sequence: u64,
+    queue: EventQueue<ScheduledEvent>,
 }
 
 impl World {
@@ -118,8 +115,7 @@
             target_machines: Vec::new(),
             connections: Vec::new(),
             held_up_percent: 0,
-            queue: BinaryHeap::new(),
-            sequence: 0,
+            queue: EventQueue::default(),
         };
         for machine in 0..count {
             world.machines.push(Machine::new(NodeId::new(address(machine), 0)));
@@ -181,8 +177,7 @@
     pub fn run_until(&mut self, milliseconds: u64, holds: impl Fn(&World) -> bool) -> bool {
         let end = self.now + milliseconds;
         while !holds(self) {
-            let is_due = self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= end);
-            let Some(Reverse((at, _, scheduled))) = is_due.then(|| self.queue.pop()).flatten() else {
+            let Some((at, scheduled)) = self.queue.pop_until(end) else {
                 self.now = end;
                 return holds(self);
             };
@@ -366,8 +361,7 @@
     }
 
     pub(super) fn schedule(&mut self, delay: u64, scheduled: ScheduledEvent) {
-        self.sequence += 1;
-        self.queue.push(Reverse((self.now + delay, self.sequence, scheduled)));
+        self.queue.push(self.now + delay, scheduled);
     }
 }
 
--- a/crates/quillpulley/tests/relay_tree/world/mod.rs
+++ b/crates/quillpulley/tests/relay_tree/world/mod.rs
@@ -11,8 +11,8 @@
 use crate::timeline::{Command, FaultKind};
 use crate::topology::{places, AgentCounts, Place, ROOT};
 use quillpulley_protocol::{Body, FrameEncoder};
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use quillpulley_simulation::EventQueue;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// The interval at which the ages are checked.
@@ -103,33 +103,6 @@
     CheckAges,
 }
 
-struct Scheduled {
-    at: u64,
-    sequence: u64,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.sequence) == (other.at, other.sequence)
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    /// The earliest event is the greatest, as a binary heap returns the greatest first.
-    fn cmp(&self, other: &Self) -> Ordering {
-        (other.at, other.sequence).cmp(&(self.at, self.sequence))
-    }
-}
-
 pub struct World {
     pub now: u64,
     pub places: Vec<Place>,
@@ -141,8 +114,7 @@
     processes: Vec<Process>,
     connections: BTreeMap<LinkId, Connection>,
     next_link: LinkId,
-    queue: BinaryHeap<Scheduled>,
-    sequence: u64,
+    queue: EventQueue<Event>,
     encoder: FrameEncoder,
     items: PublishedItems,
     random: fastrand::Rng,
@@ -164,8 +136,7 @@
             processes: Vec::new(),
             connections: BTreeMap::new(),
             next_link: 1,
-            queue: BinaryHeap::new(),
-            sequence: 0,
+            queue: EventQueue::default(),
             encoder: FrameEncoder::default(),
             items: PublishedItems::new(parameters.seed),
             random: fastrand::Rng::with_seed(parameters.seed),
@@ -228,10 +199,9 @@
 
     pub fn run_until(&mut self, end_ms: u64) {
         let end = end_ms * 1_000;
-        while self.queue.peek().is_some_and(|scheduled| scheduled.at <= end) {
-            let Some(scheduled) = self.queue.pop() else { break };
-            self.now = scheduled.at;
-            self.dispatch(scheduled.event);
+        while let Some((at, event)) = self.queue.pop_until(end) {
+            self.now = at;
+            self.dispatch(event);
         }
         self.now = end;
     }
@@ -241,8 +211,7 @@
     }
 
     fn schedule_at(&mut self, at: u64, event: Event) {
-        self.sequence += 1;
-        self.queue.push(Scheduled { at, sequence: self.sequence, event });
+        self.queue.push(at, event);
     }
 
     fn dispatch(&mut self, event: Event) {
--- a/crates/replication/tests/replication/harness/simulation.rs
+++ b/crates/replication/tests/replication/harness/simulation.rs
@@ -2,8 +2,8 @@
 
 use quillpulley_protocol::{Body, NodeId};
 use quillpulley_replication::{Action, Event, Faults, RejectReason, Replica, Role, Write, WriteFailed};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use quillpulley_simulation::EventQueue;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
 
 use super::checker::Checker;
@@ -122,7 +122,7 @@
     pub zone: usize,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug)]
 pub(super) enum ScheduledEvent {
     /// A message arrives at a machine. It is lost if the machine is no longer the node `id`.
     Deliver {
@@ -182,9 +182,8 @@
     pub reads: u64,
     /// The nodes whose disks were lost, and the time of each loss in milliseconds.
     pub(super) lost: Vec<(NodeId, u64)>,
-    /// The scheduled events, each with its time in milliseconds and its sequence number.
-    pub(super) queue: BinaryHeap<Reverse<(u64, u64, ScheduledEvent)>>,
-    pub(super) sequence: u64,
+    /// The scheduled events, with their times in milliseconds.
+    pub(super) queue: EventQueue<ScheduledEvent>,
     /// A description of each event, for the message of a failed test.
     pub trace: Vec<String>,
 }
@@ -208,8 +207,7 @@
             grants: BTreeMap::new(),
             reads: 0,
             lost: Vec::new(),
-            queue: BinaryHeap::new(),
-            sequence: 0,
+            queue: EventQueue::default(),
             trace: Vec::new(),
             options,
         }
@@ -223,14 +221,10 @@
     pub fn run_until(&mut self, milliseconds: u64, condition: impl Fn(&Simulation) -> bool) -> bool {
         let end = self.now + milliseconds;
         while !condition(self) {
-            match self.queue.peek() {
-                Some(Reverse((at, ..))) if *at <= end => {}
-                _ => {
-                    self.now = end;
-                    return condition(self);
-                }
-            }
-            let Some(Reverse((at, _, scheduled))) = self.queue.pop() else { continue };
+            let Some((at, scheduled)) = self.queue.pop_until(end) else {
+                self.now = end;
+                return condition(self);
+            };
             self.now = at;
             self.dispatch(scheduled);
         }
@@ -423,8 +417,7 @@
     }
 
     pub(super) fn schedule(&mut self, delay: u64, scheduled: ScheduledEvent) {
-        self.sequence += 1;
-        self.queue.push(Reverse((self.now + delay, self.sequence, scheduled)));
+        self.queue.push(self.now + delay, scheduled);
     }
 }
 
