--- a/crates/load-balancer/src/balancer/in_flight.rs
+++ b/crates/load-balancer/src/balancer/in_flight.rs
@@ -150,18 +150,25 @@
         due.map(begin).collect()
     }
 
-    /// Records the result of a health check.
-    pub fn record_health_check(&mut self, now: Duration, key: ServerKey, result: HealthCheckResult) {
+    /// Records the result of a health check that was sent at `asked_at`.
+    pub fn record_health_check(
+        &mut self,
+        now: Duration,
+        key: ServerKey,
+        asked_at: Duration,
+        result: HealthCheckResult,
+    ) {
         match result {
             HealthCheckResult::Failed => {
                 if let Some(server) = self.servers.get_mut(key) {
                     server.health.handle(now, HealthEvent::CheckFailed);
                 }
             }
-            HealthCheckResult::Passed { warmup_remaining } => {
-                self.record_response(now, key);
-                if let Some(remaining) = warmup_remaining {
-                    self.set_warmup_remaining(now, key, remaining);
+            HealthCheckResult::Passed { warmup_remaining: None } => self.record_response(now, key),
+            HealthCheckResult::Passed { warmup_remaining: Some(remaining) } => {
+                if let Some(server) = self.servers.get_mut(key) {
+                    server.health.handle(now, HealthEvent::Responded);
+                    server.set_warmup_remaining(now, asked_at, remaining);
                 }
             }
         }
--- a/crates/load-balancer/src/balancer/mod.rs
+++ b/crates/load-balancer/src/balancer/mod.rs
@@ -142,10 +142,16 @@
         self.servers.get(key).is_some_and(Server::is_usable)
     }
 
-    /// Sets the remaining warm-up time that a server reports.
-    pub fn set_warmup_remaining(&mut self, now: Duration, key: ServerKey, remaining: Duration) {
+    /// Sets the remaining warm-up time that a server reports, which was asked at `asked_at`.
+    pub fn set_warmup_remaining(
+        &mut self,
+        now: Duration,
+        key: ServerKey,
+        asked_at: Duration,
+        remaining: Duration,
+    ) {
         if let Some(server) = self.servers.get_mut(key) {
-            server.set_warmup_remaining(now, remaining);
+            server.set_warmup_remaining(now, asked_at, remaining);
         }
     }
 }
--- a/crates/load-balancer/src/balancer/server.rs
+++ b/crates/load-balancer/src/balancer/server.rs
@@ -98,6 +98,8 @@
     listed_until: Duration,
     /// The end by what the server has reported or is assumed to have undergone.
     observed_until: Duration,
+    /// When the server was last assumed to have become cold.
+    assumed_at: Duration,
 }
 
 impl Warmup {
@@ -172,15 +174,23 @@
         self.warmup.listed_until = now + Duration::from_millis(u64::from(entry.warmup_remaining_ms));
     }
 
-    /// Sets the remaining warm-up time that the server itself reports. The list trails, so its latest entry is older.
-    pub(crate) fn set_warmup_remaining(&mut self, now: Duration, remaining: Duration) {
-        self.warmup = Warmup { listed_until: now, observed_until: now + remaining };
+    /// Sets the remaining warm-up time that the server itself reports; it was asked at `asked_at`. The list trails, so its
+    /// latest entry is older. The report may be older than an assumption that was made since, which it does not shorten.
+    pub(crate) fn set_warmup_remaining(&mut self, now: Duration, asked_at: Duration, remaining: Duration) {
+        let reported_until = now + remaining;
+        if self.warmup.assumed_at > asked_at {
+            self.warmup.observed_until = self.warmup.observed_until.max(reported_until);
+            return;
+        }
+        self.warmup.listed_until = now;
+        self.warmup.observed_until = reported_until;
     }
 
     /// Treats the server as cold for at least the time `remaining`, because it may have become cold
     /// unnoticed.
     pub(crate) fn assume_warming(&mut self, now: Duration, remaining: Duration) {
         self.warmup.observed_until = self.warmup.observed_until.max(now + remaining);
+        self.warmup.assumed_at = now;
     }
 
     pub(crate) fn set_misdirected(&mut self) {
--- a/crates/load-balancer/tests/health.rs
+++ b/crates/load-balancer/tests/health.rs
@@ -155,13 +155,14 @@
     assert_eq!(runner.balancer.due_health_checks(runner.now), [runner.server]);
     assert_eq!(runner.balancer.due_health_checks(runner.now), [], "one check at a time");
     runner.run("SSS", "xxx");
-    runner.balancer.record_health_check(runner.now, runner.server, HealthCheckResult::Failed);
+    runner.balancer.record_health_check(runner.now, runner.server, runner.now, HealthCheckResult::Failed);
     runner.run("SSSSSSSSSS", "xxxxxxxxxs");
     runner.run("F.....", "s.....");
     assert_eq!(runner.balancer.due_health_checks(runner.now), [runner.server]);
     runner.balancer.record_health_check(
         runner.now,
         runner.server,
+        runner.now,
         HealthCheckResult::Passed { warmup_remaining: None },
     );
     runner.run("SS", "ss");
--- a/crates/load-balancer/tests/slow_start.rs
+++ b/crates/load-balancer/tests/slow_start.rs
@@ -80,7 +80,7 @@
     let mut balancer = lone_balancer();
     let server = put(&mut balancer, &engine("s", "a1"));
     sends_to(&mut balancer, server, NOW, ms(500));
-    balancer.set_warmup_remaining(NOW + ms(500), server, WARMUP);
+    balancer.set_warmup_remaining(NOW + ms(500), server, NOW + ms(500), WARMUP);
     assert_eq!(sends_to(&mut balancer, server, NOW + ms(500), ms(700)), []);
 }
 
@@ -167,17 +167,35 @@
 fn an_older_entry_of_the_list_does_not_end_a_reported_slow_start() {
     let mut balancer = lone_balancer();
     let server = put(&mut balancer, &cold("s", "a1"));
-    balancer.set_warmup_remaining(NOW, server, WARMUP);
+    balancer.set_warmup_remaining(NOW, server, NOW, WARMUP);
     balancer.put_server(NOW + ms(200), &engine("s", "a1"));
     let sent = sends_to(&mut balancer, server, NOW + ms(200), WARMUP - ms(200));
     assert_eq!(max_in_a_second(&sent), WARMUP_LIMIT / 4);
 }
 
+/// Guards against health checks that were sent before a zone was taken back, and end the slow start of its servers.
+#[test]
+fn a_report_that_was_asked_for_before_the_server_became_cold_does_not_end_its_slow_start() {
+    let mut balancer = lone_balancer();
+    let server = put(&mut balancer, &engine("s", "a1"));
+    let ticket = balancer.begin(NOW, server, &demand(ENGINE));
+    balancer.end(NOW, ticket, Outcome::Failed(quillpulley_load_balancer::FailureKind::Connect));
+    let asked_at = NOW + ms(4_000);
+    assert_eq!(balancer.due_health_checks(asked_at), [server]);
+    balancer.set_evacuated(asked_at + ms(50), &BTreeSet::from(["a1".to_owned()]));
+    balancer.set_evacuated(asked_at + ms(100), &BTreeSet::new());
+    let answered_at = asked_at + ms(300);
+    let passed = HealthCheckResult::Passed { warmup_remaining: Some(Duration::ZERO) };
+    balancer.record_health_check(answered_at, server, asked_at, passed);
+    let sent = sends_to(&mut balancer, server, answered_at, ms(1_000));
+    assert_eq!(max_in_a_second(&sent), WARMUP_LIMIT / 4);
+}
+
 #[test]
 fn a_server_that_reports_the_end_of_its_warm_up_is_warm() {
     let mut balancer = lone_balancer();
     let server = put(&mut balancer, &cold("s", "a1"));
-    balancer.set_warmup_remaining(NOW + ms(500), server, ms(0));
+    balancer.set_warmup_remaining(NOW + ms(500), server, NOW + ms(500), ms(0));
     assert_eq!(sends_to(&mut balancer, server, NOW + ms(500), ms(100)).len(), 100);
 }
 
@@ -204,6 +222,7 @@
         balancer.record_health_check(
             recovered_at,
             server,
+            recovered_at,
             HealthCheckResult::Passed { warmup_remaining: reported },
         );
         let sent = sends_to(&mut balancer, server, recovered_at, ms(1_000));
--- a/crates/quillpulley/src/proxy/upstream/health_check.rs
+++ b/crates/quillpulley/src/proxy/upstream/health_check.rs
@@ -42,9 +42,10 @@
 }
 
 async fn check(state: Rc<ProxyState>, server: ServerKey) {
+    let asked_at = state.now();
     let result = timeout(CHECK_TIMEOUT, probe(&state, server)).await;
     let result = result.ok().flatten().unwrap_or(HealthCheckResult::Failed);
-    state.upstreams.record_health_check(server, result);
+    state.upstreams.record_health_check(server, asked_at, result);
     if let HealthCheckResult::Passed { .. } = result {
         state.admission.admit_all();
     }
--- a/crates/quillpulley/src/proxy/upstream/upstreams.rs
+++ b/crates/quillpulley/src/proxy/upstream/upstreams.rs
@@ -167,9 +167,9 @@
         Some(HealthCheckTarget { peer, service })
     }
 
-    /// Records the result of a health check.
-    pub fn record_health_check(&self, server: ServerKey, result: HealthCheckResult) {
-        self.balancer.borrow_mut().record_health_check(self.now(), server, result);
+    /// Records the result of a health check that was sent at `asked_at`.
+    pub fn record_health_check(&self, server: ServerKey, asked_at: Duration, result: HealthCheckResult) {
+        self.balancer.borrow_mut().record_health_check(self.now(), server, asked_at, result);
         if result == HealthCheckResult::Failed {
             self.failures.record();
         }
