Agents: the random delays of the parent search in a module of their own

Timeouts, backoff and review interval with their jitter, and the random numbers, are in delays.rs; behaviour and the order of random draws are as before (relay_tree: 28 passed, same ages).

--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -10,34 +10,22 @@
 //! former parent stays open until the revision has advanced with the better one.
 
 mod attempts;
+mod delays;
 mod penalties;
 
 use attempts::{Attempt, Attempts, MAX_CONCURRENT_ATTEMPTS};
+use delays::{Delays, CONTROL_NODE_TIMEOUT};
 use displaydoc::Display;
 use penalties::Penalties;
 use quillpulley_state_sync::parent_selection::ParentCandidate;
 use std::time::Duration;
 
-/// How long the revision may stall before another parent is searched for, by the kind of the parent. The timeout is
-/// longer if the parent is an agent, so that the children of an agent that is changing its own parent wait for it.
-const CONTROL_NODE_TIMEOUT: Duration = Duration::from_millis(1_000);
-const AGENT_TIMEOUT: Duration = Duration::from_millis(1_300);
-/// The maximum random time that is added to these timeouts, so that siblings do not change their parent at the same
-/// time.
-const TIMEOUT_JITTER: Duration = Duration::from_millis(200);
 /// The delay between connection attempts. If a candidate has not connected within this time, the next one is tried
 /// concurrently.
 const ATTEMPT_STAGGER: Duration = Duration::from_millis(250);
 /// While the revision is too old, agents are tried only if this many control nodes are being tried. The other attempts are
 /// left for agents, which may work where no control node can be reached.
 const MIN_CONTROL_NODE_ATTEMPTS: usize = MAX_CONCURRENT_ATTEMPTS - 1;
-/// The backoff after a failed attempt. It doubles with each consecutive failure from the minimum to the maximum, and is
-/// randomized by up to half of itself in either direction.
-const MIN_BACKOFF: Duration = Duration::from_millis(50);
-const MAX_BACKOFF: Duration = Duration::from_millis(400);
-/// How often the search tries a candidate that is better than the parent. The interval is randomized by up to a quarter
-/// of itself in either direction.
-const REVIEW_INTERVAL: Duration = Duration::from_secs(3);
 /// The age of the revision from which a parent that is an agent is given up, and control nodes are tried first. It leaves
 /// an agent the time to find another parent itself.
 const MAX_AGE_BELOW_AGENTS: Duration = Duration::from_millis(2_000);
@@ -126,7 +114,7 @@
     /// The number of connection attempts that have failed since one last succeeded.
     failures: u32,
     penalties: Penalties,
-    random: fastrand::Rng,
+    delays: Delays,
 }
 
 impl ParentSearch {
@@ -142,7 +130,7 @@
             revision_advanced_at: Duration::ZERO,
             failures: 0,
             penalties: Penalties::default(),
-            random: fastrand::Rng::with_seed(seed),
+            delays: Delays::new(seed),
         }
     }
 
@@ -255,7 +243,7 @@
         actions: &mut Vec<Action>,
     ) {
         actions.push(Action::Use(candidate));
-        let stall_timeout = self.stall_timeout(candidate);
+        let stall_timeout = self.delays.stall_timeout(candidate);
         self.parent = Some(Parent { candidate, since: now, reason, stall_timeout });
     }
 
@@ -278,14 +266,14 @@
         if let SearchState::Trial { former, .. } = self.state {
             self.return_to(now, former, actions);
         } else {
-            let next_connect = now + self.jitter(MIN_BACKOFF);
+            let next_connect = now + self.delays.first_attempt();
             self.start_search(now, next_connect, ParentChangeReason::Lost);
         }
     }
 
     fn schedule_retry(&mut self, now: Duration) {
         let SearchState::Searching { since, next_connect } = self.state else { return };
-        let retry_at = now + self.backoff();
+        let retry_at = now + self.delays.backoff(self.failures);
         let next_connect = if self.attempts.is_empty() { retry_at } else { next_connect.min(retry_at) };
         self.change_state(SearchState::Searching { since, next_connect });
     }
@@ -316,7 +304,7 @@
             && is_stalled
             && self.has_untried_control_node(now)
         {
-            let next_connect = now + self.jitter(MIN_BACKOFF);
+            let next_connect = now + self.delays.first_attempt();
             self.give_up_parent(now, next_connect);
         }
     }
@@ -348,7 +336,7 @@
             }
             SearchState::Attached { next_review } if now >= next_review => {
                 self.connect_to_better(now, actions);
-                let next_review = now + self.randomized(REVIEW_INTERVAL, 0.25);
+                let next_review = now + self.delays.review();
                 self.change_state(SearchState::Attached { next_review });
             }
             SearchState::Trial { former, ends_at } if now >= ends_at => self.return_to(now, former, actions),
@@ -434,7 +422,7 @@
         let worse = attempts.take_unless(|candidate| self.is_preferred(now, candidate, parent.candidate));
         self.attempts = attempts;
         worse.into_iter().for_each(|attempt| self.cancel(now, attempt, actions));
-        let next_review = now + self.randomized(REVIEW_INTERVAL, 0.25);
+        let next_review = now + self.delays.review();
         self.change_state(SearchState::Attached { next_review });
     }
 
@@ -497,28 +485,4 @@
             }
         }
     }
-
-    fn stall_timeout(&mut self, candidate: ParentCandidate) -> Duration {
-        let minimum = match candidate {
-            ParentCandidate::ControlNode(_) => CONTROL_NODE_TIMEOUT,
-            ParentCandidate::Agent(_) => AGENT_TIMEOUT,
-        };
-        minimum + self.jitter(TIMEOUT_JITTER)
-    }
-
-    /// Returns the backoff after the latest of the consecutive failures.
-    fn backoff(&mut self) -> Duration {
-        let doublings = self.failures.saturating_sub(1).min(8);
-        self.randomized((MIN_BACKOFF * 2u32.pow(doublings)).min(MAX_BACKOFF), 0.5)
-    }
-
-    /// Returns a random duration between zero and `limit`.
-    fn jitter(&mut self, limit: Duration) -> Duration {
-        limit.mul_f64(self.random.f64())
-    }
-
-    /// Returns a random duration that differs from `time` by at most `fraction` of it, in either direction.
-    fn randomized(&mut self, time: Duration, fraction: f64) -> Duration {
-        time.mul_f64(1.0 - fraction + 2.0 * fraction * self.random.f64())
-    }
 }
