--- a/crates/quillpulley/src/agent/host/links.rs
+++ b/crates/quillpulley/src/agent/host/links.rs
@@ -6,7 +6,7 @@
 use crate::agent::parent_search;
 use crate::peer::{LinkId, PeerEvent};
 use log::{debug, info};
-use quillpulley_protocol::{Body, Hello, PeerKind, Revision};
+use quillpulley_protocol::{Body, Hello, PeerKind};
 use quillpulley_state_sync as state_sync;
 use std::net::SocketAddr;
 
@@ -62,7 +62,7 @@
             self.handle_sync(state_sync::Event::ParentFrame(body));
         } else if self.children.contains(link) {
             if self.must_reject(link, &body) {
-                debug!(link:% = link; "child agent rejected, as it has published state and this agent has none");
+                debug!(link:% = link; "child agent rejected, as it has seen a later epoch than this agent");
                 return self.close_child(link);
             }
             if let Body::Report(report) = &mut body {
@@ -74,12 +74,11 @@
         }
     }
 
-    /// Returns whether a child agent must look for another parent: it has published state, and this agent, which has just
-    /// started, has none. The proxy of the machine has no other parent.
+    /// Returns whether a child agent must look for another parent, because this agent knows less than the child and waits
+    /// itself. The proxy of the machine has no other parent.
     fn must_reject(&self, child: LinkId, body: &Body) -> bool {
-        let has_state =
-            matches!(body, Body::Subscribe(subscribe) if subscribe.revision != Revision::default());
-        has_state && self.node.revision() == Revision::default() && !self.children.is_proxy(child)
+        let Body::Subscribe(subscribe) = body else { return false };
+        self.node.is_outdated_for(self.now(), subscribe) && !self.children.is_proxy(child)
     }
 
     fn close_child(&mut self, link: LinkId) {
--- a/crates/quillpulley/src/agent/parent_search/mod.rs
+++ b/crates/quillpulley/src/agent/parent_search/mod.rs
@@ -111,7 +111,8 @@
     /// Why the latest search began.
     search_reason: ParentChangeReason,
     revision_advanced_at: Duration,
-    /// The number of connection attempts that have failed since one last succeeded.
+    /// The number of attempts that have failed since the revision last advanced: no link was opened, or it closed before the
+    /// revision had advanced.
     failures: u32,
     penalties: Penalties,
     delays: Delays,
@@ -189,7 +190,6 @@
         if !self.attempts.remove(candidate) {
             return;
         }
-        self.failures = 0;
         match (self.state, self.parent()) {
             (SearchState::Attached { .. }, Some(ParentCandidate::Agent(_)))
                 if self.is_too_old(now) && matches!(candidate, ParentCandidate::ControlNode(_)) =>
@@ -261,16 +261,26 @@
     }
 
     fn parent_lost(&mut self, now: Duration, parent: ParentCandidate, actions: &mut Vec<Action>) {
-        self.parent = None;
+        let was_useful = self.parent.take().is_some_and(|parent| self.revision_advanced_at >= parent.since);
         self.penalties.add(now, parent);
         if let SearchState::Trial { former, .. } = self.state {
             self.return_to(now, former, actions);
         } else {
-            let next_connect = now + self.delays.first_attempt();
+            let next_connect = now + self.delay_after_loss(was_useful);
             self.start_search(now, next_connect, ParentChangeReason::Lost);
         }
     }
 
+    /// Returns the delay until another parent is searched for. A parent that closed its link before it was of use may have
+    /// sent this agent away, as others may.
+    fn delay_after_loss(&mut self, was_useful: bool) -> Duration {
+        if was_useful {
+            return self.delays.first_attempt();
+        }
+        self.failures = self.failures.saturating_add(1);
+        self.delays.backoff(self.failures)
+    }
+
     fn schedule_retry(&mut self, now: Duration) {
         let SearchState::Searching { since, next_connect } = self.state else { return };
         let retry_at = now + self.delays.backoff(self.failures);
@@ -280,6 +290,7 @@
 
     fn revision_advanced(&mut self, now: Duration, actions: &mut Vec<Action>) {
         self.revision_advanced_at = now;
+        self.failures = 0;
         let Some(parent) = self.parent else { return };
         match now.saturating_sub(parent.since) >= PENALTY_RESET_AFTER {
             true => self.penalties.clear(parent.candidate),
--- a/crates/quillpulley/src/control/distribution/relay_node.rs
+++ b/crates/quillpulley/src/control/distribution/relay_node.rs
@@ -7,7 +7,7 @@
 use crate::control::directory::Directory;
 use crate::control::replica_host::links::Links;
 use crate::peer::LinkId;
-use quillpulley_protocol::{Body, NodeId};
+use quillpulley_protocol::{Body, NodeId, Revision};
 use quillpulley_state_sync::{Action, Event, Options, Store, SubtreeState, SyncNode};
 use std::time::Duration;
 
@@ -116,6 +116,23 @@
         }
     }
 
+    /// Handles a message from an agent. An agent that has seen a later epoch is sent away if this node waits for its own
+    /// parent. A node that has no state yet has just started, and will have some soon.
+    pub fn handle_agent_message(&mut self, link: LinkId, body: Body, links: &mut Links) {
+        let child = Child::Agent(link);
+        let has_state = self.sync_node.revision() != Revision::default();
+        match &body {
+            Body::Subscribe(subscribe)
+                if has_state && self.sync_node.is_outdated_for(self.clock.now(), subscribe) =>
+            {
+                log::info!(link:% = link; "agent rejected, as it has seen a later epoch than this node");
+                self.drop_child(child, links);
+                self.handle(Event::ChildDown(child), links);
+            }
+            _ => self.handle(Event::ChildFrame(child, body), links),
+        }
+    }
+
     /// Handles a message from another control node. Returns the message if it does not belong to the relay
     /// tree.
     pub fn handle_control_node_message(
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -148,7 +148,7 @@
                 self.handle_sync_event(state_sync::Event::ChildDown(Child::Agent(link)));
             }
             LinkEvent::AgentMessage(link, body) => {
-                self.handle_sync_event(state_sync::Event::ChildFrame(Child::Agent(link), body));
+                self.relay.handle_agent_message(link, body, &mut self.links);
             }
         }
     }
--- a/crates/quillpulley/tests/control/tree.rs
+++ b/crates/quillpulley/tests/control/tree.rs
@@ -4,13 +4,18 @@
 use crate::agent::Agents;
 use crate::cluster::{Cluster, Operation};
 use crate::configuration;
-use quillpulley_protocol::{decode_value, ConfigHead, ConfigHeadRef, Server, ServerRef, ServerState};
+use quillpulley_protocol::{
+    decode_value, encode_frame, Body, ConfigHead, ConfigHeadRef, Hello, NodeId, PeerKind, Revision, Server,
+    ServerRef, ServerState, Subscribe,
+};
 use quillpulley_serving_config::published::{
     control_node_key, endpoint_key, evacuated_key, restored_key, server_key, CONFIG_KEY,
 };
-use quillpulley_state_sync::SyncNode;
-use std::net::SocketAddr;
+use quillpulley_state_sync::{SyncNode, RANGE_COUNT};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tiny_http::Response;
 
 /// A platform whose list of servers is set by the test.
@@ -183,3 +188,39 @@
         agents.wait_for("a new server", |node| server_state(node, server) == Some(ServerState::Ready));
     }
 }
+
+/// Connects as an agent that has state of this epoch, and returns whether the control node closes the link.
+fn is_sent_away(address: SocketAddr, epoch: u64) -> bool {
+    let mut link = TcpStream::connect(address).expect("a connection");
+    let hello = Hello {
+        kind: PeerKind::Agent,
+        node: NodeId::new(Ipv4Addr::LOCALHOST, 0),
+        name: "front-9".to_string(),
+        zone: "zone-0".to_string(),
+        region: "none".to_string(),
+        control_address: String::new(),
+    };
+    let subscribe = Subscribe { revision: Revision { epoch, tick: 7 }, digests: vec![0; RANGE_COUNT] };
+    for message in [Body::Hello(Box::new(hello)), Body::Subscribe(Box::new(subscribe))] {
+        link.write_all(&encode_frame(message)).expect("the message is sent");
+    }
+    link.set_read_timeout(Some(Duration::from_millis(500))).expect("a timeout");
+    link.read_to_end(&mut Vec::new()).is_ok()
+}
+
+/// Guards against configurations that are late because agents wait below a control node which is cut off in an older epoch.
+#[test]
+fn a_cut_off_control_node_sends_agents_away_that_have_seen_a_later_epoch() {
+    let mut cluster = Cluster::start(3, None);
+    let primary = cluster.primary();
+    let others: Vec<usize> = (0..3).filter(|index| *index != primary).collect();
+    let address = cluster.link_address(others[0]);
+    let mut agents = Agents::connect("zone-0", std::iter::once(address));
+    agents.wait_for("published state", |sync_node| sync_node.revision().epoch > 0);
+    let epoch = agents.epoch();
+    assert!(!is_sent_away(address, epoch + 1), "the node is current and may reach that epoch at any moment");
+
+    [primary, others[1]].into_iter().for_each(|index| cluster.signal(index, "-STOP"));
+    cluster.wait_for("the state to be stale", |_| is_sent_away(address, epoch + 1).then_some(()));
+    assert!(!is_sent_away(address, epoch), "the node knows as much as the agent");
+}
--- a/crates/quillpulley/tests/parent_search.rs
+++ b/crates/quillpulley/tests/parent_search.rs
@@ -456,6 +456,30 @@
     );
 }
 
+/// Guards against searches that open many connections a second to parents that send the agent away.
+#[test]
+fn parents_that_close_their_links_before_the_revision_advances_are_tried_with_backoff() {
+    run_timeline(
+        "
+            0 | candidates C1 C2 C3 | connect C1
+           10 | opened C1           | use C1
+          900 | advanced            |
+          950 | lost C1             |
+         1000 |                     | connect C2
+         1010 | opened C2           | use C2
+         1020 | lost C2             |
+         1095 |                     | connect C3
+         1100 | opened C3           | use C3
+         1110 | lost C3             |
+         1260 |                     | connect C1
+         1270 | opened C1           | use C1
+         1280 | lost C1             |
+         1379 |                     |
+         1580 |                     | connect C2
+        ",
+    );
+}
+
 /// Guards against searches that open many connections a second while there is no primary.
 #[test]
 fn control_nodes_with_nothing_newer_have_their_whole_time_once_all_have_failed() {
--- a/crates/quillpulley/tests/relay_tree/hosts/agent.rs
+++ b/crates/quillpulley/tests/relay_tree/hosts/agent.rs
@@ -92,8 +92,7 @@
             self.handle_sync(context, state_sync::Event::ParentFrame(body));
         } else if let Some(child) = self.children.get(&link) {
             if let (PeerKind::Agent, Body::Subscribe(subscribe)) = (child.kind, &body) {
-                let has_no_state = self.node.revision() == Revision::default();
-                if has_no_state && subscribe.revision != Revision::default() {
+                if self.node.is_outdated_for(context.now, subscribe) {
                     self.remove_child(context, link);
                     self.handle_sync(context, state_sync::Event::ChildDown(link));
                     return context.close(link);
--- a/crates/state-sync/src/node.rs
+++ b/crates/state-sync/src/node.rs
@@ -8,7 +8,7 @@
 use crate::subscription_progress::{SubscriptionProgress, SubscriptionTimer};
 use crate::subtree::{LocalReport, SubtreeState};
 use crate::totals::{Totals, TotalsState};
-use quillpulley_protocol::{Body, Revision};
+use quillpulley_protocol::{Body, Revision, Subscribe};
 use std::hash::Hash;
 use std::time::Duration;
 
@@ -198,6 +198,12 @@
         self.subscription_timer.progress(now)
     }
 
+    /// Returns whether a child that subscribes should look for another parent: it has seen a later epoch than this node, whose
+    /// state is stale. This node cannot answer before it has reached that epoch.
+    pub fn is_outdated_for(&self, now: Duration, subscribe: &Subscribe) -> bool {
+        self.revision.epoch < subscribe.revision.epoch && !self.is_fresh(now)
+    }
+
     /// Returns whether the present parent has answered the subscription.
     pub fn is_subscription_answered(&self) -> bool {
         self.subscription_timer.is_answered()
--- a/crates/state-sync/tests/repair.rs
+++ b/crates/state-sync/tests/repair.rs
@@ -80,6 +80,17 @@
     assert!(served.iter().all(|update| value_of(update, "a") == Some(b"1")), "{served:?}");
 }
 
+/// Guards against children that wait below a node which cannot answer them.
+#[test]
+fn a_stale_node_is_outdated_for_a_child_that_knows_a_newer_epoch() {
+    let node = root(1);
+    let subscribe = |epoch| Subscribe { revision: Revision { epoch, tick: 1 }, digests: Vec::new() };
+    let is_outdated = |at_ms, epoch| node.is_outdated_for(Duration::from_millis(at_ms), &subscribe(epoch));
+    assert!(!is_outdated(1_000, 2), "the node is current");
+    assert!(is_outdated(1_001, 2));
+    assert!(!is_outdated(1_001, 1));
+}
+
 #[test]
 fn a_child_that_knows_a_newer_epoch_is_answered_once_the_node_has_reached_it() {
     let mut former = root(1);
