--- a/crates/quillpulley/src/control/commands.rs
+++ b/crates/quillpulley/src/control/commands.rs
@@ -91,6 +91,8 @@
     next_number: u64,
     responses: Vec<(R, Response)>,
     confirmations: Confirmations,
+    /// The latest epoch in which this process is the primary; `None` while it is not.
+    epoch: Option<u64>,
     /// Returns whether a caller has closed its connection.
     caller_has_gone: fn(&R) -> bool,
 }
@@ -112,6 +114,7 @@
             next_number: 1,
             responses: Vec::new(),
             confirmations: Confirmations::default(),
+            epoch: None,
             caller_has_gone,
         }
     }
@@ -230,15 +233,21 @@
         self.confirmations.expire(now);
     }
 
-    /// Handles the gain of the primary role: another node may have decided commands meanwhile.
-    pub fn begin_term(&mut self) {
-        self.confirmations.end_all();
+    /// Handles that this process is the primary in `epoch`. Requests for confirmation end unless it was the primary in the
+    /// epoch before too, as when a member joins: otherwise, another node may have decided commands meanwhile.
+    pub fn begin_term(&mut self, epoch: u64) {
+        let continues = self.epoch.is_some_and(|previous| epoch == previous || epoch == previous + 1);
+        if !continues {
+            self.confirmations.end_all();
+        }
+        self.epoch = Some(epoch);
     }
 
     /// Handles the loss of the primary role. Queued commands are answered with `response`, the command in
     /// flight with [`Response::Unavailable`], as its outcome is unknown.
     pub fn abandon(&mut self, response: &Response) {
         self.confirmations.end_all();
+        self.epoch = None;
         if let Some(command) = self.in_flight.take() {
             let responder = command.responder;
             self.responses.extend(responder.map(|responder| (responder, Response::Unavailable)));
--- a/crates/quillpulley/src/control/distribution/leader_publisher.rs
+++ b/crates/quillpulley/src/control/distribution/leader_publisher.rs
@@ -17,7 +17,10 @@
     /// Neither the leadership nor its epoch has changed.
     Unchanged,
     /// This process has become the leader, or is the leader in a later epoch.
-    Gained,
+    Gained {
+        /// The epoch.
+        epoch: u64,
+    },
     /// This process is no longer the leader.
     Lost,
 }
@@ -95,7 +98,7 @@
                 relay.become_root(epoch, links);
                 let changes = self.collect_changes(now, state, relay, links);
                 relay.handle(Event::Publish(changes), links);
-                LeadershipChange::Gained
+                LeadershipChange::Gained { epoch }
             }
             None => {
                 log::info!("stopped publishing as primary");
--- a/crates/quillpulley/src/control/replica_host/host.rs
+++ b/crates/quillpulley/src/control/replica_host/host.rs
@@ -288,8 +288,8 @@
         let (state, relay, links) = (self.replica.state(), &mut self.relay, &mut self.links);
         match self.publisher.update(now, epoch, state, relay, links) {
             LeadershipChange::Unchanged => {}
-            LeadershipChange::Gained => {
-                self.commands.begin_term();
+            LeadershipChange::Gained { epoch } => {
+                self.commands.begin_term(epoch);
                 self.discovery.reset(now);
             }
             LeadershipChange::Lost => {
--- a/crates/quillpulley/tests/control/commands.rs
+++ b/crates/quillpulley/tests/control/commands.rs
@@ -10,7 +10,7 @@
 //!   where it ends with `?`. `+ZONE^3?` was sent after the third request for confirmation.
 //! - Events: `commit N` and `fail N` are the outcomes of proposal N; after `commit N stale`, the lease is no
 //!   longer held. `foreign COMMAND` applies a command that another primary proposed. `deposed` means that
-//!   another node has become the primary.
+//!   another node has become the primary. `epoch N` means that this node is the primary in that epoch.
 //! - Results: `proposed N` is a new proposal, and `COMMAND RESPONSE` is a response. `confirm N` asks the caller to
 //!   confirm its command, by the request with this number.
 
@@ -93,6 +93,7 @@
             ["deposed"] => {
                 self.commands.abandon(&Response::Redirect("10.0.0.4:80".parse().expect("no valid address")))
             }
+            ["epoch", epoch] => self.commands.begin_term(epoch.parse().expect("the epoch is not a number")),
             _ => panic!("unknown event {event}"),
         }
     }
@@ -360,6 +361,29 @@
     );
 }
 
+/// Guards against callers that confirm a command in vain, because a machine joins meanwhile, which begins an epoch.
+#[test]
+fn a_confirmation_is_valid_if_the_same_primary_goes_on_in_the_next_epoch() {
+    run_timeline(
+        "  0 |        | epoch 2  |
+          10 | +a?    |          | +a? confirm 1
+          20 |        | epoch 3  |
+          30 | +a^1?  |          | proposed 1
+          40 |        | commit 1 | +a^1? acknowledged",
+    );
+}
+
+/// Guards against late copies that count as confirmed although another node may have been the primary in between.
+#[test]
+fn a_confirmation_is_not_valid_if_an_epoch_lies_in_between() {
+    run_timeline(
+        "  0 |        | epoch 2 |
+          10 | +a?    |         | +a? confirm 1
+          20 |        | epoch 4 |
+          30 | +a^1?  |         | +a^1? confirm 2",
+    );
+}
+
 /// Guards against late copies that a new primary, or one that was elected again, takes for confirmed.
 #[test]
 fn a_confirmation_is_not_valid_after_a_change_of_primary() {
--- a/crates/quillpulley/tests/operators/node.rs
+++ b/crates/quillpulley/tests/operators/node.rs
@@ -161,13 +161,15 @@
         } else {
             self.holds_lease(now)
         };
-        if !self.is_leader && is_leader {
-            self.commands.begin_term();
-        }
         if self.is_leader && !is_leader {
             let response = self.redirect_response(now);
             self.commands.abandon(&response);
         }
+        if let Role::Primary { epoch, .. } = self.replica.role(now) {
+            if is_leader {
+                self.commands.begin_term(epoch);
+            }
+        }
         self.is_leader = is_leader;
     }
 
